Add the design, the workspace and the base package

The repository was empty. The design page fixes the requirements, the state and its owners, the leases, the messages and the module interfaces, so that the modules can be written side by side against shared headers.

Ruled out: a coordinator per zone that renews leases of separate senders. It needs a message per sender and renewal (about 70 KB/s at 70 daemons a zone, against a budget of 10 KB/s); a leader per upstream whose lease is proved by a few voters needs neither.

Before: nothing. Conclusion: the base for the modules.

--- /dev/null
+++ b/packages/base/error_kind.h
@@ -0,0 +1,68 @@
+// The closed list of error kinds and the table that maps each kind to the
+// answer a caller receives.
+
+#ifndef POLLENRUDDER_BASE_ERROR_KIND_H_
+#define POLLENRUDDER_BASE_ERROR_KIND_H_
+
+#include <optional>
+#include <string_view>
+
+namespace pollenrudder {
+
+// Every failure that a module reports is one of these kinds. A kind whose name
+// starts with kNotRun is used only when it is proved that no upstream ran the
+// request; kUnknown means that an upstream may have run it.
+enum class ErrorKind {
+  kMalformedRequest,
+  kMissingKey,
+  kInvalidRequestId,
+  kUnknownService,
+  kBodyTooLarge,
+  kHeaderTooLarge,
+  kNotRunOverloaded,
+  kNotRunNoOwner,
+  kNotRunMoved,
+  kNotRunNoLease,
+  kNotRunUnreachable,
+  kNotRunShuttingDown,
+  kNotRunDeadline,
+  kNotRunQuarantined,
+  kNotRunFenced,
+  kUnknownUpstreamLost,
+  kUnknownAnswerDamaged,
+  kUnknownDeadline,
+  kUnknownRequestIdExpired,
+  kUnknownInProgress,
+  kInvalidDocument,
+  kInvalidSettings,
+  kConflict,
+  kLogUnavailable,
+  kLogRegressed,
+  kUnsupportedRecord,
+  kPeerProtocol,
+  kInternal,
+};
+
+// What is known about the execution of a request.
+enum class Outcome { kAnswered, kNotRun, kUnknown };
+
+// One row of the table from error kind to answer.
+struct ErrorAnswer {
+  ErrorKind kind;
+  std::string_view name;
+  int http_status;
+  Outcome outcome;
+};
+
+// Returns the row of `kind`.
+const ErrorAnswer& AnswerFor(ErrorKind kind);
+
+// Returns the kind whose name is `name`, as sent in Pollenrudder-Error.
+std::optional<ErrorKind> ErrorKindFromName(std::string_view name);
+
+// Returns "answered", "not-run" or "unknown", as sent in Pollenrudder-Outcome.
+std::string_view OutcomeName(Outcome outcome);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_BASE_ERROR_KIND_H_
--- /dev/null
+++ b/packages/base/error_kind_test.cc
@@ -0,0 +1,33 @@
+// Tests of the table from error kind to answer.
+
+#include "base/error_kind.h"
+
+#include <catch2/catch.hpp>
+
+namespace pollenrudder {
+namespace {
+
+// Guards against a kind without a row, or a row in the wrong place.
+TEST_CASE("each error kind has its own row and name") {
+  for (int index = 0; index <= static_cast<int>(ErrorKind::kInternal);
+       ++index) {
+    const auto kind = static_cast<ErrorKind>(index);
+    REQUIRE(AnswerFor(kind).kind == kind);
+    REQUIRE(ErrorKindFromName(AnswerFor(kind).name) == kind);
+  }
+  REQUIRE_FALSE(ErrorKindFromName("no_such_kind").has_value());
+}
+
+// Guards against a caller being told "not run" by a kind that means unknown.
+TEST_CASE("the outcome of a kind agrees with its name") {
+  for (int index = 0; index <= static_cast<int>(ErrorKind::kInternal);
+       ++index) {
+    const ErrorAnswer& answer = AnswerFor(static_cast<ErrorKind>(index));
+    const bool may_have_run =
+        answer.name.starts_with("unknown_") && answer.name != "unknown_service";
+    REQUIRE((answer.outcome == Outcome::kUnknown) == may_have_run);
+  }
+}
+
+}  // namespace
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/base/event_log.h
@@ -0,0 +1,42 @@
+// Structured log lines with numbered events.
+
+#ifndef POLLENRUDDER_BASE_EVENT_LOG_H_
+#define POLLENRUDDER_BASE_EVENT_LOG_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/log_event.h"
+#include "base/log_field.h"
+
+namespace pollenrudder {
+
+// Writes log lines of the form
+//   2026-01-31T12:00:00.000Z INFO event=3001 name=request_routed key=value ...
+// to standard output through easylogging++. Each event is limited to a rate per
+// second; the first line after a flood carries dropped=<count>. All functions
+// may be called from any thread.
+class EventLog {
+ public:
+  // Lines of one event allowed per second before the rest are dropped.
+  static constexpr std::uint32_t kDefaultLinesPerSecond = 2000;
+
+  // Prepares the process-wide logger. Call once, before the first line.
+  static void Initialize(
+      std::uint32_t lines_per_second = kDefaultLinesPerSecond);
+
+  static void Write(const LogEvent& event, const std::vector<LogField>& fields);
+
+  // Formats the part of a line after the time, for golden files.
+  static std::string Format(const LogEvent& event,
+                            const std::vector<LogField>& fields);
+
+  // The number of lines dropped by the rate limit since the start.
+  static std::uint64_t dropped_lines();
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_BASE_EVENT_LOG_H_
--- /dev/null
+++ b/packages/document/document_error.h
@@ -0,0 +1,23 @@
+// A fault found by the check of a section.
+
+#ifndef POLLENRUDDER_DOCUMENT_DOCUMENT_ERROR_H_
+#define POLLENRUDDER_DOCUMENT_DOCUMENT_ERROR_H_
+
+#include <cstddef>
+#include <string>
+
+namespace pollenrudder {
+
+// One fault and its place. Lines and columns count from 1; 0 means that the
+// fault has no single place.
+struct DocumentError {
+  std::size_t line = 0;
+  std::size_t column = 0;
+  std::string message;
+
+  bool operator==(const DocumentError&) const = default;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_DOCUMENT_DOCUMENT_ERROR_H_
--- /dev/null
+++ b/packages/ownership/controller_options.h
@@ -0,0 +1,35 @@
+// The identity and the time limits of a Controller.
+
+#ifndef POLLENRUDDER_OWNERSHIP_CONTROLLER_OPTIONS_H_
+#define POLLENRUDDER_OWNERSHIP_CONTROLLER_OPTIONS_H_
+
+#include <chrono>
+#include <string>
+
+namespace pollenrudder {
+
+// Who the instance is, and how long its leases and waits last.
+struct ControllerOptions {
+  // "<name>.<incarnation>"; the incarnation is new at every process start.
+  std::string instance;
+  std::string zone;
+  std::string region;
+  // "ip:port" for forwarded requests and for control messages.
+  std::string forward_address;
+  std::string peer_address;
+
+  // A lease proved by a log read lasts this long from the start of the read.
+  std::chrono::nanoseconds log_lease = std::chrono::milliseconds(600);
+  std::chrono::nanoseconds promise = std::chrono::milliseconds(900);
+  std::chrono::nanoseconds heartbeat = std::chrono::milliseconds(250);
+  // Interval of log reads while a voter's promise is missing.
+  std::chrono::nanoseconds log_read = std::chrono::milliseconds(200);
+  std::chrono::nanoseconds load_report = std::chrono::seconds(2);
+  std::chrono::nanoseconds checkpoint = std::chrono::seconds(60);
+  // Waits on behalf of another clock are lengthened by this share.
+  double clock_rate_bound = 0.01;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OWNERSHIP_CONTROLLER_OPTIONS_H_
