--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -5,10 +5,14 @@
 #include <easylogging++.h>
 
 #include <atomic>
-#include <map>
-#include <mutex>
+#include <cassert>
+#include <cstddef>
+#include <optional>
+#include <thread>
+#include <utility>
 
 #include "base/boot_clock.h"
+#include "base/bounded_ring.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -57,7 +61,8 @@
   line += '"';
 }
 
-// Counts the lines of each event in the current window.
+// Counts the lines of each event in the current window. Without locks: an
+// event of each request is admitted or dropped from all threads.
 class RateLimiter {
  public:
   void set_lines_per_second(std::uint32_t lines) { lines_per_second_ = lines; }
@@ -65,34 +70,41 @@
   // Returns whether a line may be written; sets `dropped` to the number of
   // lines suppressed since the last one written.
   bool Admit(int event_number, BootTime now, std::uint64_t& dropped) {
-    const std::lock_guard lock(mutex_);
-    Window& window = windows_[event_number];
-    if (now - window.start >= kRateWindow) {
-      window.start = now;
+    Window& window = WindowOf(event_number);
+    const BootTime::rep time = now.time_since_epoch().count();
+    BootTime::rep start = window.start.load();
+    if (time - start >= BootTime::duration(kRateWindow).count() &&
+        window.start.compare_exchange_strong(start, time))
       window.lines = 0;
-    }
-    if (window.lines >= lines_per_second_) {
-      ++window.dropped;
-      ++total_dropped_;
+    // Read first, so that a flood does not write to the shared line.
+    if (window.lines.load() >= lines_per_second_ ||
+        window.lines.fetch_add(1) >= lines_per_second_) {
+      window.dropped.fetch_add(1);
+      total_dropped_.fetch_add(1);
       return false;
     }
-    ++window.lines;
-    dropped = window.dropped;
-    window.dropped = 0;
+    dropped = window.dropped.exchange(0);
     return true;
   }
 
   std::uint64_t total_dropped() const { return total_dropped_; }
 
  private:
+  // Events are numbered below this.
+  static constexpr int kEventNumbers = 10000;
+
   struct Window {
-    BootTime start;
-    std::uint32_t lines = 0;
-    std::uint64_t dropped = 0;
+    std::atomic<BootTime::rep> start = 0;
+    std::atomic<std::uint32_t> lines = 0;
+    std::atomic<std::uint64_t> dropped = 0;
   };
 
-  std::mutex mutex_;
-  std::map<int, Window> windows_;
+  Window& WindowOf(int event_number) {
+    assert(event_number >= 0 && event_number < kEventNumbers);
+    return windows_[static_cast<std::size_t>(event_number)];
+  }
+
+  std::vector<Window> windows_ = std::vector<Window>(kEventNumbers);
   std::atomic<std::uint64_t> total_dropped_ = 0;
   std::atomic<std::uint32_t> lines_per_second_ =
       EventLog::kDefaultLinesPerSecond;
@@ -103,6 +115,77 @@
   return limiter;
 }
 
+struct Line {
+  LogEvent event;
+  std::vector<LogField> fields;
+  std::uint64_t dropped = 0;
+};
+
+void WriteLine(const Line& line) {
+  std::string text(LevelName(line.event.level));
+  text += ' ';
+  text += EventLog::Format(line.event, line.fields);
+  if (line.dropped > 0)
+    text += " dropped=" + std::to_string(line.dropped);
+  LOG(INFO) << text;
+}
+
+// Formats and writes lines on a thread of its own. The rate limit bounds the
+// number of lines; a producer that still finds the ring full writes itself.
+class LineWriter {
+ public:
+  LineWriter() : thread_([this] { Run(); }) {}
+  ~LineWriter() {
+    stopped_ = true;
+    thread_.join();
+  }
+  LineWriter(const LineWriter&) = delete;
+  LineWriter& operator=(const LineWriter&) = delete;
+
+  void Add(Line line) {
+    added_.fetch_add(1);
+    if (ring_.Push(std::move(line)))
+      return;
+    WriteLine(line);
+    written_.fetch_add(1);
+  }
+
+  void Flush() {
+    const std::uint64_t target = added_.load();
+    while (written_.load() < target)
+      std::this_thread::sleep_for(kFlushPoll);
+  }
+
+ private:
+  static constexpr std::size_t kCapacity = 8192;
+  static constexpr std::chrono::milliseconds kIdlePoll{200};
+  static constexpr std::chrono::milliseconds kFlushPoll{1};
+
+  void Run() {
+    while (true) {
+      const bool stopping = stopped_;
+      std::optional<Line> line = ring_.PopFor(kIdlePoll);
+      if (line) {
+        WriteLine(*line);
+        written_.fetch_add(1);
+      } else if (stopping) {
+        return;
+      }
+    }
+  }
+
+  BoundedRing<Line> ring_{kCapacity};
+  std::atomic<std::uint64_t> added_ = 0;
+  std::atomic<std::uint64_t> written_ = 0;
+  std::atomic<bool> stopped_ = false;
+  std::thread thread_;
+};
+
+LineWriter& Writer() {
+  static LineWriter writer;
+  return writer;
+}
+
 }  // namespace
 
 void EventLog::Initialize(std::uint32_t lines_per_second) {
@@ -118,15 +201,22 @@
 
 void EventLog::Write(const LogEvent& event,
                      const std::vector<LogField>& fields) {
+  WriteLazily(event, [&fields] { return fields; });
+}
+
+void EventLog::WriteLazily(
+    const LogEvent& event,
+    const std::function<std::vector<LogField>()>& fields) {
   std::uint64_t dropped = 0;
   if (!Limiter().Admit(event.number, BootClock::now(), dropped))
     return;
-  std::string line(LevelName(event.level));
-  line += ' ';
-  line += Format(event, fields);
-  if (dropped > 0)
-    line += " dropped=" + std::to_string(dropped);
-  LOG(INFO) << line;
+  Writer().Add(Line{event, fields(), dropped});
+  if (event.level != LogLevel::kInfo)
+    Flush();
+}
+
+void EventLog::Flush() {
+  Writer().Flush();
 }
 
 std::string EventLog::Format(const LogEvent& event,
--- a/packages/base/event_log.h
+++ b/packages/base/event_log.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -16,8 +17,10 @@
 // Writes log lines of the form
 //   2026-01-31T12:00:00.000Z INFO event=3001 name=request_routed key=value ...
 // to standard output through easylogging++. Each event is limited to a rate per
-// second; the first line after a flood carries dropped=<count>. All functions
-// may be called from any thread.
+// second; the first line after a flood carries dropped=<count>. Lines are
+// formatted and written by a thread of their own; warnings and errors are
+// written before the call returns. All functions may be called from any
+// thread.
 class EventLog {
  public:
   // Lines of one event allowed per second before the rest are dropped.
@@ -29,6 +32,15 @@
 
   static void Write(const LogEvent& event, const std::vector<LogField>& fields);
 
+  // Writes the line with the fields that `fields` returns, which is called only
+  // if the rate limit lets the line pass. For events of each request: building
+  // fields that are then dropped costs more than the request's other work.
+  static void WriteLazily(const LogEvent& event,
+                          const std::function<std::vector<LogField>()>& fields);
+
+  // Waits until all lines so far are written.
+  static void Flush();
+
   // Formats the part of a line after the time, for golden files.
   static std::string Format(const LogEvent& event,
                             const std::vector<LogField>& fields);
--- a/packages/base/metrics.cc
+++ b/packages/base/metrics.cc
@@ -2,30 +2,18 @@
 
 #include "base/metrics.h"
 
-#include <array>
+#include <cstddef>
+#include <iomanip>
 #include <map>
 #include <mutex>
 #include <sstream>
 #include <utility>
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
-
 namespace pollenrudder {
 namespace {
 
-namespace accumulators = boost::accumulators;
-
-constexpr std::array<double, 3> kQuantiles = {0.5, 0.99, 0.999};
-
-using Summary = accumulators::accumulator_set<
-    double,
-    accumulators::stats<accumulators::tag::count,
-                        accumulators::tag::sum,
-                        accumulators::tag::extended_p_square>>;
+// Counters above a million must not lose their last digits.
+constexpr int kDigits = 15;
 
 using MetricKey = std::pair<std::string, std::string>;
 
@@ -36,33 +24,33 @@
   output << name;
   if (!labels.empty())
     output << '{' << labels << '}';
-  output << ' ' << value << '\n';
+  output << ' ' << std::setprecision(kDigits) << value << '\n';
 }
 
 void RenderSummary(std::ostream& output,
                    const MetricKey& key,
-                   const Summary& summary) {
+                   DurationSummary& summary) {
   const auto& [name, labels] = key;
-  for (std::size_t index = 0; index < kQuantiles.size(); ++index) {
+  const DurationSummary::Values values = summary.Read();
+  for (std::size_t index = 0; index < values.quantiles.size(); ++index) {
     std::ostringstream quantile_labels;
     quantile_labels << labels << (labels.empty() ? "" : ",") << "quantile=\""
-                    << kQuantiles[index] << '"';
-    RenderSample(output, name, quantile_labels.str(),
-                 accumulators::extended_p_square(
-                     summary)[static_cast<std::ptrdiff_t>(index)]);
+                    << DurationSummary::kQuantiles[index] << '"';
+    RenderSample(output, name, quantile_labels.str(), values.quantiles[index]);
   }
-  RenderSample(output, name + "_sum", labels, accumulators::sum(summary));
+  RenderSample(output, name + "_sum", labels, values.sum);
   RenderSample(output, name + "_count", labels,
-               static_cast<double>(accumulators::count(summary)));
+               static_cast<double>(values.count));
 }
 
 }  // namespace
 
 struct Metrics::State {
   mutable std::mutex mutex;
-  std::map<MetricKey, double> counters;
+  // Nodes of a map do not move, so references stay valid.
+  std::map<MetricKey, Counter> counters;
   std::map<MetricKey, double> gauges;
-  std::map<MetricKey, Summary> summaries;
+  std::map<MetricKey, DurationSummary> summaries;
 };
 
 Metrics::Metrics() : state_(std::make_unique<State>()) {}
@@ -75,9 +63,7 @@
 void Metrics::Count(std::string_view name,
                     std::string_view labels,
                     std::uint64_t amount) {
-  const std::lock_guard lock(state_->mutex);
-  state_->counters[{std::string(name), std::string(labels)}] +=
-      static_cast<double>(amount);
+  CounterFor(name, labels).Add(amount);
 }
 
 void Metrics::Set(std::string_view name,
@@ -90,24 +76,30 @@
 void Metrics::Observe(std::string_view name,
                       std::string_view labels,
                       std::chrono::nanoseconds duration) {
+  SummaryFor(name, labels).Observe(duration);
+}
+
+Counter& Metrics::CounterFor(std::string_view name, std::string_view labels) {
   const std::lock_guard lock(state_->mutex);
-  MetricKey key{std::string(name), std::string(labels)};
-  auto found = state_->summaries.find(key);
-  if (found == state_->summaries.end()) {
-    Summary summary(accumulators::extended_p_square_probabilities = kQuantiles);
-    found = state_->summaries.emplace(std::move(key), summary).first;
-  }
-  found->second(std::chrono::duration<double>(duration).count());
+  return state_->counters[{std::string(name), std::string(labels)}];
+}
+
+DurationSummary& Metrics::SummaryFor(std::string_view name,
+                                     std::string_view labels) {
+  const std::lock_guard lock(state_->mutex);
+  return state_->summaries[{std::string(name), std::string(labels)}];
 }
 
 std::string Metrics::Render() const {
   const std::lock_guard lock(state_->mutex);
   std::ostringstream output;
-  for (const auto& [key, value] : state_->counters)
-    RenderSample(output, key.first, key.second, value);
+  for (const auto& [key, counter] : state_->counters) {
+    RenderSample(output, key.first, key.second,
+                 static_cast<double>(counter.value()));
+  }
   for (const auto& [key, value] : state_->gauges)
     RenderSample(output, key.first, key.second, value);
-  for (const auto& [key, summary] : state_->summaries)
+  for (auto& [key, summary] : state_->summaries)
     RenderSummary(output, key, summary);
   return output.str();
 }
--- a/packages/base/metrics.h
+++ b/packages/base/metrics.h
@@ -9,6 +9,9 @@
 #include <string>
 #include <string_view>
 
+#include "base/counter.h"
+#include "base/duration_summary.h"
+
 namespace pollenrudder {
 
 // A named set of counters, gauges and duration summaries. A metric is created
@@ -31,6 +34,12 @@
                std::string_view labels,
                std::chrono::nanoseconds duration);
 
+  // The metric itself, for code that uses it for each request: a look-up costs
+  // more than the rest. The references are valid as long as this object.
+  Counter& CounterFor(std::string_view name, std::string_view labels = {});
+  DurationSummary& SummaryFor(std::string_view name,
+                              std::string_view labels = {});
+
   // Renders every metric, sorted by name and labels.
   std::string Render() const;
 
--- /dev/null
+++ b/packages/upstreams/http_message.cc
@@ -0,0 +1,133 @@
+// Formatting and look-ups of HTTP/1.1 messages.
+
+#include "upstreams/http_message.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+
+#include <boost/beast/http/status.hpp>
+
+namespace pollenrudder {
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::size_t kMaxNumberDigits = 20;
+
+char ToLower(char character) {
+  return character >= 'A' && character <= 'Z'
+             ? static_cast<char>(character - 'A' + 'a')
+             : character;
+}
+
+// Answers without a body, whatever their headers say.
+bool HasNoBody(int status) {
+  return status == 204 || status == 304 || status / 100 == 1;
+}
+
+}  // namespace
+
+bool HeaderNamesEqual(std::string_view first, std::string_view second) {
+  return std::ranges::equal(first, second, {}, ToLower, ToLower);
+}
+
+std::optional<std::string_view> FindHeader(std::string_view lines,
+                                           std::string_view name) {
+  while (!lines.empty()) {
+    const std::size_t end = lines.find(kLineEnd);
+    const std::string_view line = lines.substr(0, end);
+    if (line.size() > name.size() && line[name.size()] == ':' &&
+        HeaderNamesEqual(line.substr(0, name.size()), name)) {
+      std::string_view value = line.substr(name.size() + 1);
+      while (!value.empty() && value.front() == ' ')
+        value.remove_prefix(1);
+      return value;
+    }
+    if (end == std::string_view::npos)
+      break;
+    lines.remove_prefix(end + kLineEnd.size());
+  }
+  return std::nullopt;
+}
+
+void AppendHeader(std::string& lines,
+                  std::string_view name,
+                  std::string_view value) {
+  assert(value.find_first_of("\r\n") == std::string_view::npos);
+  lines += name;
+  lines += ": ";
+  lines += value;
+  lines += kLineEnd;
+}
+
+void AppendHeader(std::string& lines,
+                  std::string_view name,
+                  std::uint64_t value) {
+  std::array<char, kMaxNumberDigits> digits;
+  const auto [end, error] =
+      std::to_chars(digits.data(), digits.data() + digits.size(), value);
+  AppendHeader(lines, name, std::string_view(digits.data(), end));
+}
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size() || text.empty())
+    return std::nullopt;
+  return number;
+}
+
+std::string FormatRequest(const HttpRequest& request,
+                          std::string_view control_lines) {
+  constexpr std::size_t kFixedBytes = 64;
+  std::string text;
+  text.reserve(request.method.size() + request.target.size() +
+               request.header_lines.size() + control_lines.size() +
+               request.body.size() + kFixedBytes);
+  text += request.method;
+  text += ' ';
+  text += request.target;
+  text += " HTTP/1.1\r\n";
+  text += request.header_lines;
+  text += control_lines;
+  // A method that usually has a body needs a length even without one.
+  if (!request.body.empty() ||
+      (request.method != "GET" && request.method != "HEAD"))
+    AppendHeader(text, "Content-Length", request.body.size());
+  text += kLineEnd;
+  text += request.body;
+  return text;
+}
+
+std::string FormatResponse(const HttpResponse& response,
+                           bool head_request,
+                           bool close) {
+  constexpr std::size_t kFixedBytes = 96;
+  std::string text;
+  text.reserve(response.header_lines.size() + response.control_lines.size() +
+               response.body.size() + kFixedBytes);
+  text += "HTTP/1.1 ";
+  text += std::to_string(response.status);
+  text += ' ';
+  const auto reason =
+      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
+          static_cast<unsigned>(response.status)));
+  text.append(reason.data(), reason.size());
+  text += kLineEnd;
+  text += response.header_lines;
+  text += response.control_lines;
+  if (head_request && response.head_length)
+    AppendHeader(text, "Content-Length", *response.head_length);
+  else if (!HasNoBody(response.status))
+    AppendHeader(text, "Content-Length", response.body.size());
+  if (close)
+    AppendHeader(text, "Connection", "close");
+  text += kLineEnd;
+  if (!head_request && !HasNoBody(response.status))
+    text += response.body;
+  return text;
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/upstreams/http_parser.cc
@@ -0,0 +1,330 @@
+// HTTP/1.1 parsers over Boost.Beast's basic_parser.
+
+#include "upstreams/http_parser.h"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace pollenrudder {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using BeastView = boost::beast::string_view;
+
+constexpr std::string_view kControlPrefix = "Pollenrudder-";
+
+std::string_view ToView(BeastView view) {
+  return {view.data(), view.size()};
+}
+
+// Fields that belong to one connection and are not passed on. The lengths are
+// written anew, since chunked bodies are joined.
+bool IsConnectionField(http::field field) {
+  switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool IsControlField(std::string_view name) {
+  return name.size() > kControlPrefix.size() &&
+         HeaderNamesEqual(name.substr(0, kControlPrefix.size()),
+                          kControlPrefix);
+}
+
+// Removes the fields that a Connection field names.
+void RemoveNamedFields(std::string& lines,
+                       const std::vector<std::string>& names) {
+  for (const std::string& name : names) {
+    while (const auto value = FindHeader(lines, name)) {
+      const auto value_at =
+          static_cast<std::size_t>(value->data() - lines.data());
+      const std::size_t before = lines.rfind("\r\n", value_at);
+      const std::size_t first = before == std::string::npos ? 0 : before + 2;
+      const std::size_t end = lines.find("\r\n", value_at);
+      lines.erase(first, end + 2 - first);
+    }
+  }
+}
+
+void AddConnectionNames(std::string_view value,
+                        std::vector<std::string>& names) {
+  while (!value.empty()) {
+    const std::size_t comma = value.find(',');
+    std::string_view name = value.substr(0, comma);
+    while (!name.empty() && (name.front() == ' ' || name.front() == '\t'))
+      name.remove_prefix(1);
+    while (!name.empty() && (name.back() == ' ' || name.back() == '\t'))
+      name.remove_suffix(1);
+    if (!name.empty())
+      names.emplace_back(name);
+    if (comma == std::string_view::npos)
+      return;
+    value.remove_prefix(comma + 1);
+  }
+}
+
+ParseStatus StatusOf(const error_code& error) {
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow)
+    return ParseStatus::kHeaderTooLarge;
+  if (error == http::error::body_limit)
+    return ParseStatus::kBodyTooLarge;
+  return ParseStatus::kMalformed;
+}
+
+// What both parsers share: collecting the fields and the body of `Message`.
+template <bool is_request, typename Message>
+class MessageParser : public http::basic_parser<is_request> {
+ public:
+  explicit MessageParser(const ParseLimits& limits)
+      : body_bytes_(limits.body_bytes) {
+    this->eager(true);
+    this->header_limit(limits.header_bytes);
+    // Checked here, where the limit of the service is known.
+    this->body_limit(boost::none);
+  }
+
+  Message& message() { return message_; }
+
+  ParseStatus ParseFrom(boost::beast::flat_buffer& buffer) {
+    while (!this->is_done()) {
+      if (buffer.size() == 0)
+        return ParseStatus::kNeedMore;
+      error_code error;
+      const std::size_t used = this->put(buffer.data(), error);
+      buffer.consume(used);
+      if (error == http::error::need_more)
+        return ParseStatus::kNeedMore;
+      if (error)
+        return StatusOf(error);
+    }
+    return ParseStatus::kDone;
+  }
+
+ protected:
+  void on_field_impl(http::field field,
+                     BeastView name,
+                     BeastView value,
+                     error_code& error) override {
+    if (field == http::field::connection)
+      AddConnectionNames(ToView(value), connection_names_);
+    if (IsConnectionField(field))
+      return;
+    if (field == http::field::host && ++hosts_ > 1) {
+      error = http::error::bad_field;
+      return;
+    }
+    const bool control =
+        field == http::field::unknown && IsControlField(ToView(name));
+    AppendHeader(control ? message_.control_lines : message_.header_lines,
+                 ToView(name), ToView(value));
+  }
+
+  void on_header_impl(error_code& /*error*/) override {
+    RemoveNamedFields(message_.header_lines, connection_names_);
+    message_.keep_alive = this->keep_alive();
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         error_code& error) override {
+    if (length && *length > body_bytes_)
+      error = http::error::body_limit;
+    else if (length)
+      message_.body.reserve(static_cast<std::size_t>(*length));
+  }
+
+  std::size_t on_body_impl(BeastView body, error_code& error) override {
+    if (message_.body.size() + body.size() > body_bytes_) {
+      error = http::error::body_limit;
+      return 0;
+    }
+    message_.body.append(body.data(), body.size());
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            BeastView /*extensions*/,
+                            error_code& /*error*/) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
+                                 BeastView body,
+                                 error_code& error) override {
+    return on_body_impl(body, error);
+  }
+
+  void on_finish_impl(error_code& /*error*/) override {}
+
+  Message message_;
+  std::uint64_t body_bytes_;
+  int hosts_ = 0;
+
+ private:
+  std::vector<std::string> connection_names_;
+};
+
+// Reduces "http://host/path" to "/path".
+std::string_view OriginForm(std::string_view target) {
+  constexpr std::string_view kScheme = "http://";
+  if (!target.starts_with(kScheme))
+    return target;
+  const std::size_t slash = target.find('/', kScheme.size());
+  return slash == std::string_view::npos ? "/" : target.substr(slash);
+}
+
+}  // namespace
+
+class HttpRequestParser::Core : public MessageParser<true, HttpRequest> {
+ public:
+  Core(const ParseLimits& limits, const BodyLimit& body_limit)
+      : MessageParser(limits), body_limit_(body_limit) {}
+
+  bool TakeExpectContinue() { return std::exchange(expects_continue_, false); }
+
+ private:
+  void on_request_impl(http::verb method,
+                       BeastView method_text,
+                       BeastView target,
+                       int version,
+                       error_code& error) override {
+    message_.method = ToView(method_text);
+    message_.target = OriginForm(ToView(target));
+    needs_host_ = version >= 11;
+    const bool refused =
+        method == http::verb::connect || method == http::verb::trace;
+    if (refused || message_.target.empty() || message_.target[0] != '/')
+      error = http::error::bad_target;
+  }
+
+  void on_response_impl(int /*code*/,
+                        BeastView /*reason*/,
+                        int /*version*/,
+                        error_code& /*error*/) override {}
+
+  void on_field_impl(http::field field,
+                     BeastView name,
+                     BeastView value,
+                     error_code& error) override {
+    if (field == http::field::expect)
+      expects_continue_ = HeaderNamesEqual(ToView(value), "100-continue");
+    MessageParser::on_field_impl(field, name, value, error);
+  }
+
+  void on_header_impl(error_code& error) override {
+    MessageParser::on_header_impl(error);
+    if (needs_host_ && hosts_ == 0) {
+      error = http::error::bad_field;
+      return;
+    }
+    if (body_limit_)
+      body_bytes_ = std::min(body_bytes_, body_limit_(message_));
+  }
+
+  const BodyLimit& body_limit_;
+  bool needs_host_ = true;
+  bool expects_continue_ = false;
+};
+
+HttpRequestParser::HttpRequestParser(const ParseLimits& limits,
+                                     const BodyLimit& body_limit)
+    : core_(std::make_unique<Core>(limits, body_limit)) {}
+HttpRequestParser::~HttpRequestParser() = default;
+
+ParseStatus HttpRequestParser::Parse(boost::beast::flat_buffer& buffer) {
+  return core_->ParseFrom(buffer);
+}
+
+bool HttpRequestParser::TakeExpectContinue() {
+  return core_->TakeExpectContinue();
+}
+
+bool HttpRequestParser::started() const {
+  return core_->got_some();
+}
+
+HttpRequest& HttpRequestParser::request() {
+  return core_->message();
+}
+
+class HttpResponseParser::Core : public MessageParser<false, HttpResponse> {
+ public:
+  Core(const ParseLimits& limits, bool head_request)
+      : MessageParser(limits), head_request_(head_request) {
+    skip(head_request);
+  }
+
+ private:
+  void on_request_impl(http::verb /*method*/,
+                       BeastView /*method_text*/,
+                       BeastView /*target*/,
+                       int /*version*/,
+                       error_code& /*error*/) override {}
+
+  void on_response_impl(int code,
+                        BeastView /*reason*/,
+                        int /*version*/,
+                        error_code& /*error*/) override {
+    message_.status = code;
+  }
+
+  void on_field_impl(http::field field,
+                     BeastView name,
+                     BeastView value,
+                     error_code& error) override {
+    if (field == http::field::content_length && head_request_)
+      message_.head_length = ParseNumber(ToView(value));
+    MessageParser::on_field_impl(field, name, value, error);
+  }
+
+  void on_header_impl(error_code& error) override {
+    MessageParser::on_header_impl(error);
+    if (!head_request_ && need_eof())
+      error = http::error::bad_content_length;
+  }
+
+  const bool head_request_;
+};
+
+HttpResponseParser::HttpResponseParser(const ParseLimits& limits,
+                                       bool head_request)
+    : core_(std::make_unique<Core>(limits, head_request)),
+      limits_(limits),
+      head_request_(head_request) {}
+HttpResponseParser::~HttpResponseParser() = default;
+
+ParseStatus HttpResponseParser::Parse(boost::beast::flat_buffer& buffer) {
+  while (true) {
+    const ParseStatus status = core_->ParseFrom(buffer);
+    if (status != ParseStatus::kDone || core_->message().status / 100 != 1)
+      return status;
+    core_ = std::make_unique<Core>(limits_, head_request_);
+  }
+}
+
+bool HttpResponseParser::started() const {
+  return core_->got_some();
+}
+
+HttpResponse& HttpResponseParser::response() {
+  return core_->message();
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/upstreams/shard_drains.cc
@@ -0,0 +1,77 @@
+// ShardDrains.
+
+#include "upstreams/shard_drains.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pollenrudder {
+
+void ShardDrains::OnSent(std::uint32_t shard) {
+  ++busy_[shard];
+  ++in_flight_;
+}
+
+void ShardDrains::OnEnded(std::uint32_t shard) {
+  const auto found = busy_.find(shard);
+  assert(found != busy_.end() && in_flight_ > 0);
+  --in_flight_;
+  if (--found->second == 0)
+    busy_.erase(found);
+}
+
+void ShardDrains::OnAbandoned(std::uint32_t shard, BootTime busy_until) {
+  OnEnded(shard);
+  abandoned_.push_back({shard, busy_until});
+}
+
+void ShardDrains::Start(const std::vector<std::uint32_t>& shards,
+                        bool whole,
+                        const EpochOf& epoch_of) {
+  for (const std::uint32_t shard : shards)
+    blocked_.try_emplace(shard, epoch_of(shard));
+  whole_blocked_ = whole_blocked_ || whole;
+  pending_.push_back({shards, whole});
+}
+
+void ShardDrains::OnTable(const EpochOf& epoch_of) {
+  std::erase_if(blocked_, [&](const auto& entry) {
+    return epoch_of(entry.first) != entry.second;
+  });
+}
+
+void ShardDrains::UnblockWhole() {
+  whole_blocked_ = false;
+}
+
+bool ShardDrains::IsBlocked(std::uint32_t shard) const {
+  return whole_blocked_ || blocked_.contains(shard);
+}
+
+std::vector<ShardDrains::FinishedDrain> ShardDrains::TakeFinished(
+    BootTime now) {
+  std::erase_if(abandoned_, [now](const Abandoned& abandoned) {
+    return abandoned.busy_until <= now;
+  });
+  std::vector<FinishedDrain> finished;
+  std::erase_if(pending_, [&](Pending& drain) {
+    if (!IsQuiet(drain))
+      return false;
+    finished.push_back({std::move(drain.shards)});
+    return true;
+  });
+  return finished;
+}
+
+bool ShardDrains::IsQuiet(const Pending& drain) const {
+  if (drain.whole)
+    return in_flight_ == 0 && abandoned_.empty();
+  return std::ranges::none_of(drain.shards, [this](std::uint32_t shard) {
+    return busy_.contains(shard) ||
+           std::ranges::find(abandoned_, shard, &Abandoned::shard) !=
+               abandoned_.end();
+  });
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/upstreams/shard_drains.h
@@ -0,0 +1,78 @@
+// Which shards of an upstream take no new requests, and when they are quiet.
+
+#ifndef POLLENRUDDER_UPSTREAMS_SHARD_DRAINS_H_
+#define POLLENRUDDER_UPSTREAMS_SHARD_DRAINS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "base/log_offset.h"
+
+namespace pollenrudder {
+
+// Counts the requests in flight by shard and follows the drains of one
+// upstream. A request that was given up without an answer (cancelled, past its
+// deadline, on a lost upstream) may still run, so it keeps its shard busy until
+// a time its sender gives. Requests without a shard count as shard 0.
+class ShardDrains {
+ public:
+  // Returns the epoch of a shard of this upstream; kNoOffset if the upstream
+  // no longer owns it.
+  using EpochOf = std::function<LogOffset(std::uint32_t shard)>;
+
+  void OnSent(std::uint32_t shard);
+  void OnEnded(std::uint32_t shard);
+  // As OnEnded(), but the request may run until `busy_until`.
+  void OnAbandoned(std::uint32_t shard, BootTime busy_until);
+
+  // Blocks the shards (all if `whole`) until their epoch changes.
+  void Start(const std::vector<std::uint32_t>& shards,
+             bool whole,
+             const EpochOf& epoch_of);
+  // Ends the block of shards whose epoch has changed.
+  void OnTable(const EpochOf& epoch_of);
+  // Ends the block of the whole upstream: its leader serves it again.
+  void UnblockWhole();
+
+  bool IsBlocked(std::uint32_t shard) const;
+
+  struct FinishedDrain {
+    std::vector<std::uint32_t> shards;
+  };
+  // Returns the drains whose shards are quiet now, each once.
+  std::vector<FinishedDrain> TakeFinished(BootTime now);
+
+  // Whether TakeFinished() may return something later without another call.
+  bool is_waiting() const { return !pending_.empty(); }
+  std::uint32_t in_flight() const { return in_flight_; }
+
+ private:
+  struct Abandoned {
+    std::uint32_t shard = 0;
+    BootTime busy_until;
+  };
+  struct Pending {
+    std::vector<std::uint32_t> shards;
+    bool whole = false;
+  };
+
+  bool IsQuiet(const Pending& drain) const;
+
+  // Shards with requests in flight. Invariant: the sum is in_flight_, and no
+  // entry is 0.
+  std::unordered_map<std::uint32_t, std::uint32_t> busy_;
+  std::uint32_t in_flight_ = 0;
+  std::vector<Abandoned> abandoned_;
+  // With the epoch at the start of the drain.
+  std::unordered_map<std::uint32_t, LogOffset> blocked_;
+  bool whole_blocked_ = false;
+  std::vector<Pending> pending_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_UPSTREAMS_SHARD_DRAINS_H_
--- /dev/null
+++ b/packages/upstreams/upstream_listener.h
@@ -0,0 +1,24 @@
+// What the upstream I/O thread reports to the control thread.
+
+#ifndef POLLENRUDDER_UPSTREAMS_UPSTREAM_LISTENER_H_
+#define POLLENRUDDER_UPSTREAMS_UPSTREAM_LISTENER_H_
+
+#include "ownership/controller_input.h"
+
+namespace pollenrudder {
+
+// Implemented by the daemon, which passes the events to Controller. Called on
+// the upstream I/O thread.
+class UpstreamListener {
+ public:
+  virtual ~UpstreamListener() = default;
+
+  virtual void OnUpstreamObserved(UpstreamObserved event) = 0;
+  virtual void OnFingerprintConfirmed(FingerprintConfirmed event) = 0;
+  virtual void OnDrainFinished(DrainFinished event) = 0;
+  virtual void OnLoadReported(LoadReported event) = 0;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_UPSTREAMS_UPSTREAM_LISTENER_H_
--- /dev/null
+++ b/packages/upstreams/upstreams_events.h
@@ -0,0 +1,42 @@
+// Log events of the upstreams package.
+
+#ifndef POLLENRUDDER_UPSTREAMS_UPSTREAMS_EVENTS_H_
+#define POLLENRUDDER_UPSTREAMS_UPSTREAMS_EVENTS_H_
+
+#include "base/log_event.h"
+
+namespace pollenrudder {
+
+// An upstream accepted a grant; requests are sent from now on.
+inline constexpr LogEvent kGrantAccepted{6001, "grant_accepted",
+                                         LogLevel::kInfo};
+// An upstream did not accept a grant; it is sent again.
+inline constexpr LogEvent kGrantFailed{6002, "grant_failed",
+                                       LogLevel::kWarning};
+// A connection failed or requests had no answer; the upstream is probed.
+inline constexpr LogEvent kUpstreamSuspect{6003, "upstream_suspect",
+                                           LogLevel::kWarning};
+// Probes had no answer: the upstream is taken as lost.
+inline constexpr LogEvent kUpstreamLost{6004, "upstream_lost",
+                                        LogLevel::kWarning};
+// A suspect or lost upstream answered again.
+inline constexpr LogEvent kUpstreamReachable{6005, "upstream_reachable",
+                                             LogLevel::kInfo};
+// A drain started: the shards get no new request.
+inline constexpr LogEvent kDrainStarted{6006, "drain_started", LogLevel::kInfo};
+// No request of the drained shards is in flight.
+inline constexpr LogEvent kDrainFinished{6007, "drain_finished",
+                                         LogLevel::kInfo};
+// An answer was truncated, malformed, or carried another request's id.
+inline constexpr LogEvent kAnswerDamaged{6008, "answer_damaged",
+                                         LogLevel::kWarning};
+// A second upstream was lost while it ran one suspect request alone.
+inline constexpr LogEvent kFingerprintConfirmed{
+    6009, "fingerprint_confirmed", LogLevel::kWarning};
+// This instance stopped leading an upstream; its connections are closed.
+inline constexpr LogEvent kUpstreamReleased{6010, "upstream_released",
+                                            LogLevel::kInfo};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_UPSTREAMS_UPSTREAMS_EVENTS_H_
