Declare the classes of the routing package

The HTTP code and the controller are written at the same time as the routing package and need its interfaces.

--- /dev/null
+++ b/packages/routing/admission_request.h
@@ -0,0 +1,25 @@
+// A request that asks the leader of an upstream for a slot.
+
+#ifndef POLLENRUDDER_ROUTING_ADMISSION_REQUEST_H_
+#define POLLENRUDDER_ROUTING_ADMISSION_REQUEST_H_
+
+#include <cstdint>
+
+#include "base/boot_clock.h"
+
+namespace pollenrudder {
+
+struct AdmissionRequest {
+  // Chosen by the caller of Admission; unique among its requests.
+  std::uint64_t ticket = 0;
+  // Requests that wait share the slots by flow, for example by a hash of the
+  // team and of the caller's address.
+  std::uint64_t flow = 0;
+  BootTime deadline;
+  // The fingerprint is suspect: the request runs alone on its upstream.
+  bool suspect = false;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ROUTING_ADMISSION_REQUEST_H_
--- /dev/null
+++ b/packages/routing/fingerprint.h
@@ -0,0 +1,22 @@
+// The fingerprint of a request, by which requests that crash upstreams are
+// recognized.
+
+#ifndef POLLENRUDDER_ROUTING_FINGERPRINT_H_
+#define POLLENRUDDER_ROUTING_FINGERPRINT_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace pollenrudder {
+
+// Returns the XXH3 hash of the four parts. Each part is hashed with its length,
+// so that two requests that differ only in where a part ends have different
+// fingerprints. Headers are left out: they vary between repeats of a request.
+std::uint64_t RequestFingerprint(std::string_view service,
+                                 std::string_view method,
+                                 std::string_view target,
+                                 std::string_view body);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ROUTING_FINGERPRINT_H_
--- /dev/null
+++ b/packages/routing/request_id.h
@@ -0,0 +1,53 @@
+// The id of a request that must not run twice.
+
+#ifndef POLLENRUDDER_ROUTING_REQUEST_ID_H_
+#define POLLENRUDDER_ROUTING_REQUEST_ID_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/boot_clock.h"
+#include "base/log_offset.h"
+#include "base/result.h"
+
+namespace pollenrudder {
+
+// Issued by the leader of an upstream and sent back by the caller in
+// Pollenrudder-Request-Id. It names the upstream, so that every ingress sends
+// a repeat to the instance that holds the record. Text form:
+//   1.<service>.<upstream>.<shard>.<epoch>.<issued ms>.<sequence>.<check>
+// Names are percent-encoded, numbers are decimal without leading zeros, and
+// the check is eight hexadecimal digits of the XXH3 hash of the text before
+// it. The check catches ids that were cut off or mistyped; it is no protection
+// against a caller who forges ids of its own requests. Each id has exactly one
+// text form. Related: RequestRecords.
+struct RequestId {
+  // Longer texts are refused before they are parsed.
+  static constexpr std::size_t kMaxTextBytes = 512;
+
+  std::string service;
+  std::string upstream;
+  // 0 if the service is not divided by key.
+  std::uint32_t shard = 0;
+  // The epoch of the shard, or the fence of the upstream.
+  LogOffset epoch = kNoOffset;
+  // On the boot clock of the leader that issued the id. The epoch binds the id
+  // to this leader, so no other clock is ever compared with it.
+  std::chrono::milliseconds issued_at{0};
+  // Unique among the ids of one leader and upstream.
+  std::uint64_t sequence = 0;
+
+  // Fails with kInvalidRequestId and a message that names the faulty part.
+  static Result<RequestId> Parse(std::string_view text);
+  // Precondition: the names are not empty, and the text is not longer than
+  // kMaxTextBytes.
+  std::string ToText() const;
+
+  bool operator==(const RequestId&) const = default;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ROUTING_REQUEST_ID_H_
--- /dev/null
+++ b/packages/routing/request_records.cc
@@ -0,0 +1,161 @@
+// RequestRecords.
+
+#include "routing/request_records.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pollenrudder {
+
+namespace {
+
+std::chrono::milliseconds Milliseconds(BootTime time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      time.time_since_epoch());
+}
+
+}  // namespace
+
+RequestRecords::RequestRecords(std::string service,
+                               std::string upstream,
+                               const Options& options)
+    : service_(std::move(service)),
+      upstream_(std::move(upstream)),
+      options_(options) {
+  assert(options.max_records > 0);
+}
+
+RequestId RequestRecords::Issue(std::uint32_t shard,
+                                LogOffset epoch,
+                                BootTime now) {
+  RequestId id;
+  id.service = service_;
+  id.upstream = upstream_;
+  id.shard = shard;
+  id.epoch = epoch;
+  id.issued_at = Milliseconds(Advance(now));
+  id.sequence = next_sequence_++;
+  return id;
+}
+
+BootTime RequestRecords::Advance(BootTime now) {
+  latest_ = std::max(latest_, now);
+  return latest_;
+}
+
+bool RequestRecords::IsEnded(std::chrono::milliseconds issued_at) const {
+  return Milliseconds(latest_) - issued_at >= options_.lifetime;
+}
+
+RequestBegin RequestRecords::RepeatOf(const Record& record) {
+  switch (record.state) {
+    case State::kRunning:
+      return {RequestBegin::Kind::kInProgress, ErrorKind::kUnknownInProgress,
+              nullptr};
+    case State::kAnswered:
+      if (record.answer) {
+        return {RequestBegin::Kind::kRepeatAnswered, ErrorKind::kInternal,
+                record.answer};
+      }
+      return {RequestBegin::Kind::kRepeatUnknown,
+              ErrorKind::kUnknownAnswerDamaged, nullptr};
+    case State::kUnknown:
+      break;
+  }
+  return {RequestBegin::Kind::kRepeatUnknown, record.error, nullptr};
+}
+
+RequestBegin RequestRecords::Begin(const RequestId& id,
+                                   LogOffset epoch,
+                                   BootTime now) {
+  const RequestBegin invalid{RequestBegin::Kind::kInvalid,
+                             ErrorKind::kInvalidRequestId, nullptr};
+  DropEnded(now);
+  if (id.service != service_ || id.upstream != upstream_)
+    return invalid;
+  if (id.epoch != epoch || IsEnded(id.issued_at)) {
+    return {RequestBegin::Kind::kExpired, ErrorKind::kUnknownRequestIdExpired,
+            nullptr};
+  }
+  if (id.sequence == 0 || id.sequence >= next_sequence_ ||
+      id.issued_at > Milliseconds(latest_)) {
+    return invalid;
+  }
+  const auto found = records_.find(id.sequence);
+  if (found != records_.end()) {
+    const Record& record = found->second;
+    if (record.issued_at != id.issued_at || record.shard != id.shard ||
+        record.epoch != id.epoch) {
+      return invalid;
+    }
+    return RepeatOf(record);
+  }
+  if (records_.size() >= options_.max_records) {
+    return {RequestBegin::Kind::kFull, ErrorKind::kNotRunOverloaded, nullptr};
+  }
+  Record record;
+  record.issued_at = id.issued_at;
+  record.epoch = id.epoch;
+  record.shard = id.shard;
+  records_.emplace(id.sequence, std::move(record));
+  return {RequestBegin::Kind::kRun, ErrorKind::kInternal, nullptr};
+}
+
+RequestRecords::Record* RequestRecords::FindRunning(const RequestId& id) {
+  const auto found = records_.find(id.sequence);
+  if (found == records_.end() || found->second.state != State::kRunning ||
+      found->second.issued_at != id.issued_at ||
+      found->second.epoch != id.epoch) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void RequestRecords::FinishAnswered(const RequestId& id,
+                                    StoredAnswer answer,
+                                    BootTime now) {
+  DropEnded(now);
+  Record* record = FindRunning(id);
+  if (!record)
+    return;
+  record->state = State::kAnswered;
+  const std::size_t bytes = answer.bytes();
+  if (bytes > options_.max_bytes_per_answer ||
+      answer_bytes_ + bytes > options_.max_answer_bytes) {
+    ++answers_not_kept_;
+    return;
+  }
+  answer_bytes_ += bytes;
+  record->answer = std::make_shared<const StoredAnswer>(std::move(answer));
+}
+
+void RequestRecords::FinishNotRun(const RequestId& id, BootTime now) {
+  DropEnded(now);
+  if (FindRunning(id))
+    records_.erase(id.sequence);
+}
+
+void RequestRecords::FinishUnknown(const RequestId& id,
+                                   ErrorKind error,
+                                   BootTime now) {
+  assert(AnswerFor(error).outcome == Outcome::kUnknown);
+  DropEnded(now);
+  Record* record = FindRunning(id);
+  if (!record)
+    return;
+  record->state = State::kUnknown;
+  record->error = error;
+}
+
+void RequestRecords::DropEnded(BootTime now) {
+  Advance(now);
+  while (!records_.empty() && IsEnded(records_.begin()->second.issued_at)) {
+    const Record& first = records_.begin()->second;
+    if (first.answer)
+      answer_bytes_ -= first.answer->bytes();
+    records_.erase(records_.begin());
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/routing/shard_of.h
@@ -0,0 +1,18 @@
+// The shard of a key.
+
+#ifndef POLLENRUDDER_ROUTING_SHARD_OF_H_
+#define POLLENRUDDER_ROUTING_SHARD_OF_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace pollenrudder {
+
+// Returns XXH3(key) % shards. All instances must agree on it, so the function
+// and the shard count never change during the life of a service.
+// Precondition: shards > 0.
+std::uint32_t ShardOf(std::string_view key, std::uint32_t shards);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ROUTING_SHARD_OF_H_
--- /dev/null
+++ b/packages/routing/two_choices.h
@@ -0,0 +1,96 @@
+// Choice of the better of two random upstreams.
+
+#ifndef POLLENRUDDER_ROUTING_TWO_CHOICES_H_
+#define POLLENRUDDER_ROUTING_TWO_CHOICES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "routing/upstream_choice.h"
+
+namespace pollenrudder {
+
+// Draws two upstreams of the nearest tier with a usable one (own zone, own
+// region, elsewhere) and takes the one with the lower cost:
+//   (requests in flight + 1) x recent latency x penalty for recent failures.
+// An upstream that has failed several times in a row is unusable for a moment
+// that doubles up to a limit. A tier is passed over while all its upstreams
+// are unusable or already have `spill_in_flight` requests of this sender. A
+// cold upstream takes part with a share that grows over `ramp_up`.
+class TwoChoices : public UpstreamChooser {
+ public:
+  struct Options {
+    std::string zone;
+    std::string region;
+    // The time constant of the latency average.
+    std::chrono::nanoseconds latency_window = std::chrono::seconds(2);
+    // The time constant with which failures are forgotten.
+    std::chrono::nanoseconds failure_window = std::chrono::seconds(3);
+    std::chrono::nanoseconds ramp_up = std::chrono::seconds(5);
+    std::chrono::nanoseconds first_pause = std::chrono::milliseconds(200);
+    std::chrono::nanoseconds max_pause = std::chrono::seconds(5);
+    // Failures in a row after which an upstream is paused.
+    std::uint32_t failures_to_pause = 3;
+    // Requests of this sender in flight on each upstream of a tier at which
+    // the next tier is used as well.
+    std::uint32_t spill_in_flight = 8;
+  };
+
+  TwoChoices(const Options& options, std::uint64_t seed);
+
+  void SetUpstreams(std::vector<ChoiceUpstream> upstreams) override;
+  const std::string* Choose(BootTime now,
+                            std::span<const std::string> tried) override;
+  void OnSent(const std::string& upstream, BootTime now) override;
+  void OnFinished(const std::string& upstream,
+                  SendEnd end,
+                  std::chrono::nanoseconds duration,
+                  BootTime now) override;
+
+ private:
+  struct Observed {
+    std::uint32_t in_flight = 0;
+    // In seconds; 0 until the first answer.
+    double latency = 0;
+    BootTime latency_at;
+    // Failures and refusals, decaying.
+    double failures = 0;
+    BootTime failures_at;
+    std::uint32_t failures_in_row = 0;
+    std::optional<BootTime> paused_until;
+    // Set at the first request and after a pause; the ramp-up starts here.
+    std::optional<BootTime> warm_from;
+    // In the current list, with the tier 0 to 2.
+    bool listed = false;
+  };
+
+  struct Entry {
+    ChoiceUpstream upstream;
+    int tier = 2;
+    // Points into observed_, whose nodes do not move.
+    Observed* observed = nullptr;
+  };
+
+  double Cost(const Observed& observed, BootTime now) const;
+  double WarmShare(const Observed& observed, BootTime now) const;
+  void RecordFailure(Observed& observed, double weight, BootTime now);
+  const Entry* Draw(std::span<const Entry* const> usable, BootTime now);
+
+  const Options options_;
+  std::mt19937_64 random_;
+  std::vector<Entry> entries_;
+  std::unordered_map<std::string, Observed> observed_;
+  // The mean latency over all upstreams, assumed for one without an answer.
+  double mean_latency_ = 0.001;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ROUTING_TWO_CHOICES_H_
