Give the routing classes their bodies

Ruled out: dropping the planner's plan while one report is missing, since one isolated zone would then stop balancing in all the others.

--- a/packages/routing/admission.h
+++ b/packages/routing/admission.h
@@ -60,7 +60,8 @@
     std::uint32_t queue_length = 64;
     // The slots of a cold upstream grow from 1 to `slots` over this time.
     std::chrono::nanoseconds ramp_up = std::chrono::seconds(5);
-    // After a shed request, one slot less is used for this time.
+    // Each shed request takes one slot out of use; one comes back after each
+    // pause.
     std::chrono::nanoseconds shed_pause = std::chrono::milliseconds(200);
   };
 
@@ -129,10 +130,13 @@
     bool suspect = false;
   };
 
-  FlowList::iterator FindFlow(std::uint64_t id, bool suspects);
+  const Flow* FindFlow(std::uint64_t id, bool suspects) const;
   bool MayStart(bool suspect, BootTime now) const;
   void Start(const AdmissionRequest& request, BootTime now);
   void Enqueue(const AdmissionRequest& request);
+  // The slot times that a new request of the flow waits for.
+  double SlotTimesAhead(std::uint64_t flow, bool suspects, BootTime now) const;
+  std::uint32_t ShedSlotsAt(BootTime now) const;
   std::optional<std::uint64_t> Displace(std::size_t own_waiting);
   std::optional<std::uint64_t> TakeExpired(BootTime now);
 
@@ -145,7 +149,12 @@
   std::unordered_map<std::uint64_t, Running> running_;
   std::chrono::nanoseconds mean_service_time_{0};
   std::optional<BootTime> cold_since_;
-  std::optional<BootTime> shed_until_;
+  // Slots taken out of use by shed requests at shed_at_; one comes back after
+  // each shed_pause.
+  std::uint32_t shed_slots_ = 0;
+  BootTime shed_at_;
+  // At or before the earliest deadline of a waiting request.
+  BootTime earliest_deadline_ = BootTime::max();
   bool closed_ = false;
 };
 
--- /dev/null
+++ b/packages/routing/planner.cc
@@ -0,0 +1,287 @@
+// Planner.
+
+#include "routing/planner.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace pollenrudder {
+
+namespace {
+
+// Plans in a row with an upstream above the threshold before moves start: one
+// report interval with a burst moves nothing.
+constexpr std::uint32_t kPlansAbove = 2;
+// Rates reported within this time after a move cover the interval before it.
+constexpr std::chrono::nanoseconds kSettle = std::chrono::seconds(4);
+// Bounds the work of one plan.
+constexpr std::size_t kMaxMoves = 64;
+
+double Seconds(std::chrono::nanoseconds duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+Planner::Planner(std::string service) : Planner(std::move(service), {}) {}
+
+Planner::Planner(std::string service, const Options& options)
+    : service_(std::move(service)), options_(options) {}
+
+void Planner::Report(const UpstreamWork& work, BootTime now) {
+  UpstreamReport& report = reports_[work.upstream];
+  if (!report.fresh)
+    report.previous_at = report.at;
+  report.work = work;
+  report.at = now;
+  report.fresh = true;
+}
+
+double Planner::LoadOf(std::uint32_t shard) const {
+  return shard < shards_.size() ? shards_[shard].load : 0;
+}
+
+void Planner::TrackMoves(const RoutedService& service, BootTime now) {
+  shards_.resize(service.shard_owners.size());
+  for (std::size_t shard = 0; shard < shards_.size(); ++shard) {
+    ShardState& state = shards_[shard];
+    const LogOffset placed = service.shard_offsets[shard];
+    if (placed != state.placed) {
+      // A planner that has just started knows of no earlier move.
+      if (state.placed != kNoOffset)
+        state.moved = now;
+      state.placed = placed;
+      state.pending_target = RoutedService::kNoUpstream;
+    }
+    if (now - state.pending_since > options_.move_timeout)
+      state.pending_target = RoutedService::kNoUpstream;
+  }
+}
+
+bool Planner::HasReport(const RoutedUpstream& upstream, BootTime now) const {
+  const auto found = reports_.find(upstream.name);
+  return found != reports_.end() &&
+         now - found->second.at <= options_.report_lifetime;
+}
+
+void Planner::ApplyReports(const RoutingTable& table,
+                           const RoutedService& service,
+                           BootTime now) {
+  std::vector<std::vector<std::uint32_t>> owned(table.upstreams.size());
+  for (std::uint32_t shard = 0; shard < service.shard_owners.size(); ++shard) {
+    const std::uint32_t owner = service.shard_owners[shard];
+    if (owner < owned.size())
+      owned[owner].push_back(shard);
+  }
+  for (const std::uint32_t upstream : service.upstreams) {
+    const auto found = reports_.find(table.upstreams[upstream].name);
+    if (found == reports_.end() || !found->second.fresh)
+      continue;
+    ApplyReport(found->second, owned[upstream], now);
+    found->second.fresh = false;
+  }
+  std::erase_if(reports_, [&](const auto& entry) {
+    return now - entry.second.at > 2 * options_.report_lifetime;
+  });
+}
+
+void Planner::ApplyReport(const UpstreamReport& report,
+                          const std::vector<std::uint32_t>& owned,
+                          BootTime now) {
+  // Per owned shard: its listed rate, or the mean of those that are not listed.
+  std::vector<double> rates(owned.size(), -1);
+  double rest = report.work.requests_per_second;
+  std::size_t unlisted = owned.size();
+  for (const ShardWork& work : report.work.shards) {
+    rest -= work.requests_per_second;
+    const auto found = std::lower_bound(owned.begin(), owned.end(), work.shard);
+    if (found == owned.end() || *found != work.shard)
+      continue;
+    double& rate = rates[static_cast<std::size_t>(found - owned.begin())];
+    if (rate < 0)
+      --unlisted;
+    rate = work.requests_per_second;
+  }
+  const double rest_each =
+      unlisted > 0 ? std::max(rest, 0.0) / static_cast<double>(unlisted) : 0;
+  const double interval =
+      report.previous_at ? Seconds(report.at - *report.previous_at) : 0;
+  const double weight = 1 - std::exp(-interval / Seconds(options_.load_window));
+  for (std::size_t i = 0; i < owned.size(); ++i) {
+    ShardState& state = shards_[owned[i]];
+    const double rate = rates[i] < 0 ? rest_each : rates[i];
+    if (!state.sampled) {
+      state.load = rate;
+      state.sampled = true;
+      continue;
+    }
+    if (state.moved && now - *state.moved < kSettle)
+      continue;
+    state.load += weight * (rate - state.load);
+  }
+}
+
+std::vector<Planner::Bin> Planner::FillBins(const RoutingTable& table,
+                                            const RoutedService& service,
+                                            BootTime now) const {
+  std::vector<Bin> bins;
+  // Per upstream of the table: its bin.
+  constexpr std::size_t kNoBin = SIZE_MAX;
+  std::vector<std::size_t> bin_of(table.upstreams.size(), kNoBin);
+  for (const std::uint32_t index : service.upstreams) {
+    const RoutedUpstream& upstream = table.upstreams[index];
+    if (upstream.leaving || !HasReport(upstream, now))
+      continue;
+    bin_of[index] = bins.size();
+    bins.push_back({index, 0, {}, false});
+  }
+  for (std::uint32_t shard = 0; shard < shards_.size(); ++shard) {
+    const ShardState& state = shards_[shard];
+    const bool pending = state.pending_target != RoutedService::kNoUpstream;
+    const std::uint32_t owner =
+        pending ? state.pending_target : service.shard_owners[shard];
+    if (owner >= bin_of.size() || bin_of[owner] == kNoBin)
+      continue;
+    Bin& bin = bins[bin_of[owner]];
+    bin.load += state.load;
+    const bool dwells =
+        state.moved && now - *state.moved < service.settings.dwell;
+    if (!pending && !dwells)
+      bin.shards.push_back(shard);
+  }
+  for (Bin& bin : bins) {
+    std::sort(bin.shards.begin(), bin.shards.end(),
+              [&](std::uint32_t left, std::uint32_t right) {
+                return shards_[left].load < shards_[right].load;
+              });
+  }
+  return bins;
+}
+
+std::optional<double> Planner::MoveOne(Bin& from,
+                                       Bin& to,
+                                       double least,
+                                       double most,
+                                       const RoutingTable& table,
+                                       BootTime now,
+                                       std::vector<PlannedMove>& moves) {
+  const auto above =
+      std::upper_bound(from.shards.begin(), from.shards.end(), most,
+                       [&](double load, std::uint32_t shard) {
+                         return load < shards_[shard].load;
+                       });
+  if (above == from.shards.begin())
+    return std::nullopt;
+  const auto chosen = std::prev(above);
+  const std::uint32_t shard = *chosen;
+  ShardState& state = shards_[shard];
+  if (state.load < least)
+    return std::nullopt;
+  from.shards.erase(chosen);
+  from.load -= state.load;
+  to.load += state.load;
+  state.pending_target = to.upstream;
+  state.pending_since = now;
+  moves.push_back({shard, table.upstreams[from.upstream].name,
+                   table.upstreams[to.upstream].name});
+  return state.load;
+}
+
+void Planner::Balance(const Levels& levels,
+                      std::vector<Bin>& bins,
+                      const RoutingTable& table,
+                      BootTime now,
+                      std::vector<PlannedMove>& moves) {
+  const auto by_load = [](const Bin& left, const Bin& right) {
+    return left.load < right.load;
+  };
+  double budget = options_.share_per_plan * levels.total;
+  while (moves.size() < kMaxMoves) {
+    const auto source = std::max_element(
+        bins.begin(), bins.end(), [](const Bin& left, const Bin& right) {
+          return std::pair(!left.exhausted, left.load) <
+                 std::pair(!right.exhausted, right.load);
+        });
+    const auto target = std::min_element(bins.begin(), bins.end(), by_load);
+    if (source->exhausted || source->load <= levels.stop)
+      return;
+    double most =
+        std::min(source->load - levels.mean, levels.stop - target->load);
+    // The first move may exceed the budget: one shard can be heavier.
+    if (!moves.empty())
+      most = std::min(most, budget);
+    const auto moved =
+        MoveOne(*source, *target, options_.move_cost * levels.mean, most, table,
+                now, moves);
+    if (!moved)
+      source->exhausted = true;
+    else
+      budget -= *moved;
+  }
+}
+
+void Planner::FillIdle(const Levels& levels,
+                       std::vector<Bin>& bins,
+                       const RoutingTable& table,
+                       BootTime now,
+                       std::vector<PlannedMove>& moves) {
+  const auto by_load = [](const Bin& left, const Bin& right) {
+    return left.load < right.load;
+  };
+  const auto target = std::min_element(bins.begin(), bins.end(), by_load);
+  if (target->load >= options_.fill_below * levels.mean)
+    return;
+  double budget = options_.share_per_plan * levels.total;
+  while (moves.size() < kMaxMoves) {
+    const auto source = std::max_element(bins.begin(), bins.end(), by_load);
+    const double most = std::min(
+        {source->load - levels.mean, levels.mean - target->load, budget});
+    // Heavy shards only: few moves fill the upstream.
+    const auto moved =
+        MoveOne(*source, *target, options_.move_cost * levels.mean, most, table,
+                now, moves);
+    if (!moved)
+      return;
+    budget -= *moved;
+  }
+}
+
+std::vector<PlannedMove> Planner::Plan(const RoutingTable& table,
+                                       BootTime now) {
+  const RoutedService* const service = table.FindService(service_);
+  if (!service || service->shard_owners.empty())
+    return {};
+  assert(service->shard_owners.size() == service->shard_offsets.size());
+  TrackMoves(*service, now);
+  ApplyReports(table, *service, now);
+  std::vector<Bin> bins = FillBins(table, *service, now);
+  if (bins.size() < 2 || bins.size() * 2 < service->upstreams.size())
+    return {};
+  Levels levels;
+  double highest = 0;
+  for (const Bin& bin : bins) {
+    levels.total += bin.load;
+    highest = std::max(highest, bin.load);
+  }
+  if (levels.total <= 0)
+    return {};
+  levels.mean = levels.total / static_cast<double>(bins.size());
+  const double threshold = service->settings.imbalance_percent / 100.0;
+  levels.high = levels.mean * (1 + threshold);
+  levels.stop = levels.mean * (1 + threshold / 2);
+  imbalance_ = highest / levels.mean;
+
+  plans_above_ = highest > levels.high ? plans_above_ + 1 : 0;
+  moving_ = plans_above_ >= kPlansAbove || (moving_ && highest > levels.stop);
+  std::vector<PlannedMove> moves;
+  if (moving_)
+    Balance(levels, bins, table, now, moves);
+  else if (options_.fill_below > 0)
+    FillIdle(levels, bins, table, now, moves);
+  return moves;
+}
+
+}  // namespace pollenrudder
--- a/packages/routing/planner.h
+++ b/packages/routing/planner.h
@@ -19,8 +19,9 @@
 namespace pollenrudder {
 
 // Load reports go in, moves come out. The planner only advises: a move that is
-// lost or refused is planned again. It plans nothing while reports of an
-// upstream are missing, since it cannot know the mean then.
+// lost or refused is planned again. Upstreams without a recent report are
+// neither source nor target and do not count for the mean; while more than half
+// are without one, nothing is planned.
 //   planner.Report(work, now);              // each report of a leader
 //   for (const PlannedMove& move : planner.Plan(table, now)) ...  // every 2 s
 // The threshold and the dwell time come from the service's settings. A move is
@@ -66,6 +67,8 @@
  private:
   struct ShardState {
     double load = 0;
+    // Has had a sample.
+    bool sampled = false;
     LogOffset placed = kNoOffset;
     // The last move seen in the table.
     std::optional<BootTime> moved;
@@ -77,38 +80,67 @@
   struct UpstreamReport {
     UpstreamWork work;
     BootTime at;
+    // When the report before it arrived.
+    std::optional<BootTime> previous_at;
     // True until the report has been added to the averages.
     bool fresh = true;
   };
 
   // An upstream during one plan.
   struct Bin {
+    // Index into RoutingTable::upstreams.
     std::uint32_t upstream = 0;
-    bool accepts = false;
     double load = 0;
-    // Movable shards, heaviest last.
+    // Movable shards, lightest first.
     std::vector<std::uint32_t> shards;
+    // No shard of this bin can be moved any more.
+    bool exhausted = false;
+  };
+
+  // The levels of one plan.
+  struct Levels {
+    double mean = 0;
+    double total = 0;
+    // Moves start above `high` and stop at `stop`.
+    double high = 0;
+    double stop = 0;
   };
 
   void TrackMoves(const RoutedService& service, BootTime now);
-  bool ApplyReports(const RoutingTable& table,
+  bool HasReport(const RoutedUpstream& upstream, BootTime now) const;
+  void ApplyReports(const RoutingTable& table,
                     const RoutedService& service,
                     BootTime now);
-  void AddSample(ShardState& state, double sample, BootTime now);
+  void ApplyReport(const UpstreamReport& report,
+                   const std::vector<std::uint32_t>& owned,
+                   BootTime now);
   std::vector<Bin> FillBins(const RoutingTable& table,
                             const RoutedService& service,
                             BootTime now) const;
-  std::vector<PlannedMove> Balance(const RoutingTable& table,
-                                   std::vector<Bin> bins,
-                                   double mean,
-                                   double stop_level,
-                                   BootTime now);
+  void Balance(const Levels& levels,
+               std::vector<Bin>& bins,
+               const RoutingTable& table,
+               BootTime now,
+               std::vector<PlannedMove>& moves);
+  void FillIdle(const Levels& levels,
+                std::vector<Bin>& bins,
+                const RoutingTable& table,
+                BootTime now,
+                std::vector<PlannedMove>& moves);
+  // Moves the heaviest shard of `from` with a load between `least` and `most`.
+  // Returns its load, or nothing if there is none.
+  std::optional<double> MoveOne(Bin& from,
+                                Bin& to,
+                                double least,
+                                double most,
+                                const RoutingTable& table,
+                                BootTime now,
+                                std::vector<PlannedMove>& moves);
 
   const std::string service_;
   const Options options_;
   std::vector<ShardState> shards_;
   std::map<std::string, UpstreamReport, std::less<>> reports_;
-  std::optional<BootTime> averaged_at_;
   // Plans in a row with an upstream above the threshold.
   std::uint32_t plans_above_ = 0;
   bool moving_ = false;
--- a/packages/routing/request_id.h
+++ b/packages/routing/request_id.h
@@ -25,7 +25,7 @@
 // text form. Related: RequestRecords.
 struct RequestId {
   // Longer texts are refused before they are parsed.
-  static constexpr std::size_t kMaxTextBytes = 512;
+  static constexpr std::size_t kMaxTextBytes = 4096;
 
   std::string service;
   std::string upstream;
@@ -41,8 +41,8 @@
 
   // Fails with kInvalidRequestId and a message that names the faulty part.
   static Result<RequestId> Parse(std::string_view text);
-  // Precondition: the names are not empty, and the text is not longer than
-  // kMaxTextBytes.
+  // Precondition: the names are not empty. The text of names of up to 600 bytes
+  // each is within kMaxTextBytes.
   std::string ToText() const;
 
   bool operator==(const RequestId&) const = default;
--- a/packages/routing/spread_placement.h
+++ b/packages/routing/spread_placement.h
@@ -12,10 +12,11 @@
 namespace pollenrudder {
 
 // Leaves every shard whose owner accepts where it is. The others are placed
-// heaviest first, each on the upstream with the least load. Among upstreams of
-// equal load the one with the highest rendezvous hash of shard and name is
-// taken, so that two leaders that lose an upstream at the same time do not
-// choose the same target for all their shards.
+// heaviest first, each on the upstream with the least load. Upstreams of equal
+// load are taken in the order of a hash of their name and of the shards, so
+// that two leaders that lose an upstream at the same time prefer different
+// targets. Each shard counts with a minimum load, so that idle shards are
+// spread as well.
 class SpreadPlacement : public PlacementPolicy {
  public:
   std::vector<std::uint32_t> Place(
--- a/packages/routing/two_choices.h
+++ b/packages/routing/two_choices.h
@@ -65,14 +65,16 @@
     BootTime failures_at;
     std::uint32_t failures_in_row = 0;
     std::optional<BootTime> paused_until;
-    // Set at the first request and after a pause; the ramp-up starts here.
-    std::optional<BootTime> warm_from;
-    // In the current list, with the tier 0 to 2.
+    // The ramp-up starts here; without a value the upstream is warm.
+    std::optional<BootTime> cold_since;
+    // Added since the last Choose(), which starts its ramp-up.
+    bool added = false;
     bool listed = false;
   };
 
   struct Entry {
     ChoiceUpstream upstream;
+    // 0: own zone, 1: own region, 2: elsewhere.
     int tier = 2;
     // Points into observed_, whose nodes do not move.
     Observed* observed = nullptr;
@@ -80,7 +82,15 @@
 
   double Cost(const Observed& observed, BootTime now) const;
   double WarmShare(const Observed& observed, BootTime now) const;
-  void RecordFailure(Observed& observed, double weight, BootTime now);
+  void RecordFailure(Observed& observed, bool failed, BootTime now);
+  void RecordLatency(Observed& observed,
+                     std::chrono::nanoseconds duration,
+                     BootTime now);
+  // Entries of the nearest tiers that are not leaving, not in `tried` and, if
+  // `skip_paused`, not paused.
+  std::vector<const Entry*> Usable(BootTime now,
+                                   std::span<const std::string> tried,
+                                   bool skip_paused) const;
   const Entry* Draw(std::span<const Entry* const> usable, BootTime now);
 
   const Options options_;
