Add the log client and the instance list client

The daemon had no way to reach the platform. One I/O thread long-polls the log, reads once on request, appends over at most 16 connections and polls the instance list. Answers are trimmed so that every record is delivered once; an answer that ends before the offset asked for is passed on unchanged, because it means that the log lost records. A list answer is revalidated by its entity tag: an unchanged list costs no body.

--- /dev/null
+++ b/packages/platform/http_connection.cc
@@ -0,0 +1,126 @@
+// HttpConnection over Boost.Beast.
+
+#include "platform/http_connection.h"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace pollenrudder {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr int kHttp11 = 11;
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+
+Error Unavailable(const boost::system::error_code& code) {
+  return MakeError(ErrorKind::kLogUnavailable, code.message());
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(const asio::any_io_executor& executor,
+                               asio::ip::tcp::endpoint endpoint)
+    : endpoint_(std::move(endpoint)), stream_(executor) {}
+
+asio::awaitable<Result<HttpConnection::Response>> HttpConnection::Get(
+    std::string target,
+    std::string known_entity_tag,
+    std::chrono::milliseconds timeout) {
+  Request request(http::verb::get, target, kHttp11);
+  if (!known_entity_tag.empty())
+    request.set(http::field::if_none_match, known_entity_tag);
+  stream_.expires_after(timeout);
+  const bool reused = connected_;
+  Result<Response> answer = co_await Exchange(request);
+  if (!answer && reused) {
+    stream_.expires_after(timeout);
+    answer = co_await Exchange(std::move(request));
+  }
+  co_return answer;
+}
+
+asio::awaitable<Result<HttpConnection::Response>> HttpConnection::Post(
+    std::string target,
+    std::string body,
+    std::chrono::milliseconds timeout) {
+  Request request(http::verb::post, target, kHttp11);
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(body);
+  stream_.expires_after(timeout);
+  co_return co_await Exchange(std::move(request));
+}
+
+asio::awaitable<Result<HttpConnection::Response>> HttpConnection::Exchange(
+    Request request) {
+  if (!connected_) {
+    const auto [error] = co_await stream_.async_connect(endpoint_, kAwaitTuple);
+    if (error) {
+      Close();
+      co_return Unavailable(error);
+    }
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    connected_ = true;
+  }
+  request.set(http::field::host, endpoint_.address().to_string());
+  request.prepare_payload();
+  const auto [write_error, sent] =
+      co_await http::async_write(stream_, request, kAwaitTuple);
+  bytes_sent_ += sent;
+  if (write_error) {
+    Close();
+    co_return Unavailable(write_error);
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxBodyBytes);
+  const auto [read_error, received] =
+      co_await http::async_read(stream_, buffer_, parser, kAwaitTuple);
+  bytes_received_ += received;
+  if (read_error) {
+    Close();
+    co_return Unavailable(read_error);
+  }
+  Response response = parser.release();
+  if (!response.keep_alive())
+    Close();
+  co_return response;
+}
+
+void HttpConnection::Close() {
+  boost::system::error_code ignored;
+  stream_.socket().close(ignored);
+  buffer_.clear();
+  connected_ = false;
+}
+
+Result<asio::ip::tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const auto colon = address.rfind(':');
+  const auto invalid = [&] {
+    return MakeError(ErrorKind::kInvalidSettings,
+                     "not an ip:port address: " + address);
+  };
+  if (colon == std::string::npos)
+    return invalid();
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    host = host.substr(1, host.size() - 2);
+  unsigned short port = 0;
+  const char* const end = address.data() + address.size();
+  const auto [last, error] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  boost::system::error_code code;
+  const auto ip = asio::ip::make_address(host, code);
+  if (code || error != std::errc() || last != end)
+    return invalid();
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/platform/instance_list_client.cc
@@ -0,0 +1,89 @@
+// InstanceListClient as a coroutine on the platform thread.
+
+#include "platform/instance_list_client.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/event_log.h"
+#include "platform/platform_events.h"
+#include "platform/platform_messages.h"
+
+namespace pollenrudder {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+InstanceListClient::InstanceListClient(const asio::any_io_executor& executor,
+                                       asio::ip::tcp::endpoint endpoint,
+                                       Metrics& metrics,
+                                       Callback changed)
+    : executor_(executor),
+      connection_(executor, std::move(endpoint)),
+      timer_(executor),
+      metrics_(metrics),
+      changed_(std::move(changed)) {}
+
+void InstanceListClient::Start() {
+  asio::co_spawn(executor_, PollLoop(), asio::detached);
+}
+
+asio::awaitable<void> InstanceListClient::PollLoop() {
+  for (;;) {
+    timer_.expires_after(kInterval);
+    const Result<void> polled = co_await PollOnce();
+    SetAvailable(polled.has_value(),
+                 polled ? std::string() : polled.assume_error().message);
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+asio::awaitable<Result<void>> InstanceListClient::PollOnce() {
+  const std::size_t sent = connection_.bytes_sent();
+  const std::size_t received = connection_.bytes_received();
+  const Result<HttpConnection::Response> answer =
+      co_await connection_.Get("/v1/instances", entity_tag_, kTimeout);
+  metrics_.Count("pollenrudder_platform_bytes_total",
+                 "system=\"instance_list\",direction=\"out\"",
+                 connection_.bytes_sent() - sent);
+  metrics_.Count("pollenrudder_platform_bytes_total",
+                 "system=\"instance_list\",direction=\"in\"",
+                 connection_.bytes_received() - received);
+  if (!answer)
+    co_return answer.assume_error();
+  const HttpConnection::Response& response = answer.assume_value();
+  if (response.result() == http::status::not_modified)
+    co_return Result<void>(boost::outcome_v2::success());
+  if (response.result() != http::status::ok) {
+    co_return MakeError(ErrorKind::kLogUnavailable,
+                        "status " + std::to_string(response.result_int()));
+  }
+  Result<std::vector<ListedInstance>> instances =
+      ParseInstances(response.body());
+  if (!instances)
+    co_return instances.assume_error();
+  entity_tag_ = response[http::field::etag];
+  if (!reported_once_ || instances.assume_value() != instances_) {
+    reported_once_ = true;
+    instances_ = std::move(instances).assume_value();
+    changed_(instances_);
+  }
+  co_return Result<void>(boost::outcome_v2::success());
+}
+
+void InstanceListClient::SetAvailable(bool available,
+                                      const std::string& reason) {
+  if (available == available_)
+    return;
+  available_ = available;
+  if (available)
+    EventLog::Write(kInstanceListAvailable, {});
+  else
+    EventLog::Write(kInstanceListUnavailable, {{"reason", reason}});
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/platform/log_client.h
@@ -0,0 +1,126 @@
+// Reads and appends records of the platform's log.
+
+#ifndef POLLENRUDDER_PLATFORM_LOG_CLIENT_H_
+#define POLLENRUDDER_PLATFORM_LOG_CLIENT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/log_offset.h"
+#include "base/metrics.h"
+#include "ownership/controller_action.h"
+#include "ownership/controller_input.h"
+#include "platform/http_connection.h"
+#include "platform/input_outbox.h"
+#include "platform/log_tail.h"
+#include "platform/relay_reader.h"
+
+namespace pollenrudder {
+
+// Long-polls the log, directly or through the parent in the reader tree, reads
+// once on request and appends. Every record is delivered once and in order.
+// LogRecordsRead::next never decreases, but for one case: a log that ends
+// before the offset it was asked for has lost records, and the lower offset is
+// delivered so that the controller sees it. Used on the platform thread.
+class LogClient {
+ public:
+  static constexpr std::chrono::milliseconds kPollWait{1000};
+  // Half of the time in which a frozen parent is noticed; the other half is
+  // kRelayGrace.
+  static constexpr std::chrono::milliseconds kRelayWait{400};
+  static constexpr std::chrono::milliseconds kRelayGrace{300};
+  static constexpr std::chrono::milliseconds kReadTimeout{400};
+  static constexpr std::chrono::milliseconds kAppendTimeout{1000};
+  static constexpr std::chrono::milliseconds kRetryDelay{100};
+  static constexpr std::chrono::milliseconds kMaxRetryDelay{500};
+  // A parent that failed is not asked again for this long.
+  static constexpr std::chrono::milliseconds kRelayPause{5000};
+  static constexpr std::size_t kReadLimit = 1000;
+  static constexpr std::size_t kMaxAppends = 16;
+  static constexpr std::size_t kMaxWaitingAppends = 1024;
+
+  // `relay` may be null. The references must outlive the object.
+  LogClient(const boost::asio::any_io_executor& executor,
+            boost::asio::ip::tcp::endpoint endpoint,
+            InputOutbox& outbox,
+            Metrics& metrics,
+            LogTail& tail,
+            RelayReader* relay);
+
+  void ReadFrom(LogOffset next);
+  void ReadNow();
+  void Append(AppendRecord action);
+
+  // The parent in the reader tree; empty to read directly.
+  void SetParent(const std::string& peer_address);
+
+ private:
+  boost::asio::awaitable<void> PollLoop();
+  boost::asio::awaitable<void> ReadOnce();
+  boost::asio::awaitable<void> AppendLoop(
+      std::shared_ptr<HttpConnection> connection);
+  boost::asio::awaitable<Result<LogRecordsRead>> ReadDirect(
+      HttpConnection& connection,
+      std::chrono::milliseconds wait,
+      LogOffset from);
+  boost::asio::awaitable<Result<LogRecordsRead>> ReadRelayed(std::string parent,
+                                                             LogOffset from);
+  boost::asio::awaitable<void> Pause(std::chrono::milliseconds delay);
+  boost::asio::awaitable<void> PollRelay();
+  boost::asio::awaitable<void> PollDirect();
+
+  bool UseRelay() const;
+  void AbandonRelay(const std::string& reason);
+  // Trims what was delivered before, then delivers. `asked` is the offset that
+  // the read started from.
+  void Deliver(LogRecordsRead read, LogOffset asked);
+  void ReportFailure(const Error& error);
+  void CountBytes(const HttpConnection& connection,
+                  std::size_t sent_before,
+                  std::size_t received_before);
+  void FinishAppend(const std::string& record_id,
+                    const Result<HttpConnection::Response>& answer);
+
+  const boost::asio::any_io_executor executor_;
+  const boost::asio::ip::tcp::endpoint endpoint_;
+  InputOutbox& outbox_;
+  Metrics& metrics_;
+  LogTail& tail_;
+  RelayReader* const relay_;
+  HttpConnection poll_connection_;
+  HttpConnection read_connection_;
+  boost::asio::steady_timer pause_timer_;
+  std::minstd_rand random_;
+
+  bool polling_ = false;
+  bool reading_once_ = false;
+  bool read_once_again_ = false;
+  // The next offset that has not been delivered.
+  LogOffset next_ = 1;
+  bool log_available_ = true;
+  std::chrono::milliseconds retry_delay_ = kRetryDelay;
+
+  std::string parent_;
+  BootTime relay_after_;
+  // Relayed answers in a row that end before next_.
+  int answers_behind_ = 0;
+  bool relaying_ = false;
+
+  // Invariant: waiting_appends_ is empty while idle_appenders_ is not.
+  std::deque<AppendRecord> waiting_appends_;
+  std::size_t appenders_ = 0;
+  std::vector<std::shared_ptr<HttpConnection>> idle_appenders_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_PLATFORM_LOG_CLIENT_H_
--- /dev/null
+++ b/packages/platform/platform_thread.cc
@@ -0,0 +1,114 @@
+// PlatformThread: one I/O context with both clients.
+
+#include "platform/platform_thread.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "platform/input_outbox.h"
+#include "platform/instance_list_client.h"
+#include "platform/log_client.h"
+#include "platform/reader_tree.h"
+
+namespace pollenrudder {
+
+namespace asio = boost::asio;
+
+class PlatformThread::Core {
+ public:
+  Core(PlatformOptions options,
+       const asio::ip::tcp::endpoint& log,
+       const asio::ip::tcp::endpoint& list,
+       BoundedRing<ControllerInput>& inputs,
+       Metrics& metrics,
+       LogTail& tail,
+       RelayReader* relay)
+      : options_(std::move(options)),
+        context_(1),
+        outbox_(context_.get_executor(), inputs),
+        log_client_(context_.get_executor(),
+                    log,
+                    outbox_,
+                    metrics,
+                    tail,
+                    options_.relay_tree ? relay : nullptr),
+        list_client_(context_.get_executor(),
+                     list,
+                     metrics,
+                     [this](const auto& instances) { OnListed(instances); }),
+        work_(context_.get_executor()) {
+    list_client_.Start();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~Core() {
+    context_.stop();
+    thread_.join();
+  }
+
+  template <typename Function>
+  void Post(Function function) {
+    asio::post(context_, std::move(function));
+  }
+
+  LogClient& log_client() { return log_client_; }
+
+ private:
+  void OnListed(const std::vector<ListedInstance>& instances) {
+    if (options_.relay_tree) {
+      log_client_.SetParent(
+          FindReaderParent(instances, options_.instance, options_.zone));
+    }
+    outbox_.Deliver(InstancesListed{instances});
+  }
+
+  const PlatformOptions options_;
+  asio::io_context context_;
+  InputOutbox outbox_;
+  LogClient log_client_;
+  InstanceListClient list_client_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<PlatformThread>> PlatformThread::Create(
+    PlatformOptions options,
+    BoundedRing<ControllerInput>& inputs,
+    Metrics& metrics,
+    LogTail& tail,
+    RelayReader* relay) {
+  BOOST_OUTCOME_TRY(const auto log, ParseEndpoint(options.log_address));
+  BOOST_OUTCOME_TRY(const auto list,
+                    ParseEndpoint(options.instance_list_address));
+  auto core = std::make_unique<Core>(std::move(options), log, list, inputs,
+                                     metrics, tail, relay);
+  return std::unique_ptr<PlatformThread>(new PlatformThread(std::move(core)));
+}
+
+PlatformThread::PlatformThread(std::unique_ptr<Core> core)
+    : core_(std::move(core)) {}
+
+PlatformThread::~PlatformThread() = default;
+
+void PlatformThread::ReadFrom(LogOffset next) {
+  core_->Post([this, next] { core_->log_client().ReadFrom(next); });
+}
+
+void PlatformThread::ReadNow(const ReadLogNow& action) {
+  // The client reads from the offset that it delivered last, which is at or
+  // after the one the controller has applied.
+  (void)action;
+  core_->Post([this] { core_->log_client().ReadNow(); });
+}
+
+void PlatformThread::Append(const AppendRecord& action) {
+  core_->Post([this, action] { core_->log_client().Append(action); });
+}
+
+}  // namespace pollenrudder
