Add the admin port and the operator tool's HTTP client

Operators and scrapers need a read-only port on each daemon; the tool needs bounded, blocking calls.

Ruled out: serving admin requests on the caller threads, where a slow scrape would delay callers. Before: none. After: 4 test cases, among them refused methods and a taken port.

--- /dev/null
+++ b/packages/operators/admin_handler.h
@@ -0,0 +1,29 @@
+// What the admin port asks of the daemon.
+
+#ifndef POLLENRUDDER_OPERATORS_ADMIN_HANDLER_H_
+#define POLLENRUDDER_OPERATORS_ADMIN_HANDLER_H_
+
+#include <string>
+#include <string_view>
+
+namespace pollenrudder {
+
+// One answer of the admin port.
+struct AdminAnswer {
+  int http_status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+};
+
+// Implemented by the daemon. AdminServer calls it on its own thread.
+class AdminHandler {
+ public:
+  virtual ~AdminHandler() = default;
+
+  // `target` is the path with the query, for example "/route?service=geodata".
+  virtual AdminAnswer HandleAdminRequest(std::string_view target) = 0;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OPERATORS_ADMIN_HANDLER_H_
--- /dev/null
+++ b/packages/operators/admin_server_test.cc
@@ -0,0 +1,68 @@
+// Tests of the admin port and the blocking HTTP client.
+
+#include "operators/admin_server.h"
+
+#include <catch2/catch.hpp>
+
+#include "operators/admin_handler.h"
+#include "operators/http_client.h"
+
+namespace pollenrudder {
+namespace {
+
+using std::chrono::milliseconds;
+
+class EchoHandler : public AdminHandler {
+ public:
+  AdminAnswer HandleAdminRequest(std::string_view target) override {
+    return AdminAnswer{target == "/missing" ? 404 : 200, "text/plain",
+                       std::string(target)};
+  }
+};
+
+TEST_CASE("the admin port answers GET requests") {
+  EchoHandler handler;
+  const auto server = AdminServer::Start("127.0.0.1:0", handler);
+  REQUIRE(server.has_value());
+  const std::string& address = server.value()->address();
+  const auto answer =
+      SendHttpRequest(address, "/route?service=a", "", milliseconds(5000));
+  REQUIRE(answer.value().http_status == 200);
+  REQUIRE(answer.value().body == "/route?service=a");
+  REQUIRE(SendHttpRequest(address, "/missing", "", milliseconds(5000))
+              .value()
+              .http_status == 404);
+}
+
+// Guards against an admin port that could change something.
+TEST_CASE("the admin port refuses other methods") {
+  EchoHandler handler;
+  const auto server = AdminServer::Start("127.0.0.1:0", handler);
+  const auto answer = SendHttpRequest(server.value()->address(), "/status",
+                                      "{}", milliseconds(5000));
+  REQUIRE((answer.has_error() || answer.value().http_status == 405));
+}
+
+// Guards against a tool that hangs, or reports an empty answer as success.
+TEST_CASE("an address without a server is reported as no answer") {
+  std::string address;
+  {
+    EchoHandler handler;
+    address = AdminServer::Start("127.0.0.1:0", handler).value()->address();
+  }
+  const auto answer = SendHttpRequest(address, "/", "", milliseconds(5000));
+  REQUIRE(answer.error().kind == ErrorKind::kLogUnavailable);
+  REQUIRE(SendHttpRequest("localhost:1", "/", "", milliseconds(5000))
+              .error()
+              .kind == ErrorKind::kInvalidSettings);
+}
+
+TEST_CASE("an address that is taken is a settings error") {
+  EchoHandler handler;
+  const auto first = AdminServer::Start("127.0.0.1:0", handler);
+  const auto second = AdminServer::Start(first.value()->address(), handler);
+  REQUIRE(second.error().kind == ErrorKind::kInvalidSettings);
+}
+
+}  // namespace
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/operators/http_client.cc
@@ -0,0 +1,101 @@
+// SendHttpRequest over Boost.Beast.
+
+#include "operators/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <utility>
+
+#include "operators/socket_address.h"
+
+namespace pollenrudder {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{256} << 20;
+
+// Connects, writes and reads in turn; Run() returns when all is done or the
+// stream's timeout has ended it.
+class Exchange {
+ public:
+  Exchange(const asio::ip::tcp::endpoint& endpoint,
+           http::request<http::string_body> request,
+           std::chrono::milliseconds timeout)
+      : request_(std::move(request)) {
+    parser_.body_limit(kMaxAnswerBytes);
+    stream_.expires_after(timeout);
+    stream_.async_connect(endpoint, [this](beast::error_code error) {
+      if (Continue(error))
+        Write();
+    });
+  }
+
+  beast::error_code Run() {
+    context_.run();
+    return error_;
+  }
+
+  HttpAnswer TakeAnswer() {
+    return HttpAnswer{static_cast<int>(parser_.get().result_int()),
+                      std::move(parser_.get().body())};
+  }
+
+ private:
+  bool Continue(beast::error_code error) {
+    error_ = error;
+    return !error;
+  }
+
+  void Write() {
+    http::async_write(stream_, request_,
+                      [this](beast::error_code error, std::size_t) {
+                        if (Continue(error))
+                          Read();
+                      });
+  }
+
+  void Read() {
+    http::async_read(
+        stream_, buffer_, parser_,
+        [this](beast::error_code error, std::size_t) { Continue(error); });
+  }
+
+  asio::io_context context_;
+  beast::tcp_stream stream_{context_};
+  http::request<http::string_body> request_;
+  beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+  beast::error_code error_;
+};
+
+}  // namespace
+
+Result<HttpAnswer> SendHttpRequest(const std::string& address,
+                                   const std::string& target,
+                                   const std::string& body,
+                                   std::chrono::milliseconds timeout) {
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseAddress(address));
+  http::request<http::string_body> request(
+      body.empty() ? http::verb::get : http::verb::post, target, 11);
+  request.set(http::field::host, address);
+  request.keep_alive(false);
+  if (!body.empty()) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = body;
+  }
+  request.prepare_payload();
+  Exchange exchange(endpoint, std::move(request), timeout);
+  const beast::error_code error = exchange.Run();
+  if (error)
+    return MakeError(ErrorKind::kLogUnavailable,
+                     "no answer from " + address + ": " + error.message());
+  return exchange.TakeAnswer();
+}
+
+}  // namespace pollenrudder
