--- /dev/null
+++ b/packages/upstreams/address.h
@@ -0,0 +1,27 @@
+// Addresses in the form "ip:port".
+
+#ifndef POLLENRUDDER_UPSTREAMS_ADDRESS_H_
+#define POLLENRUDDER_UPSTREAMS_ADDRESS_H_
+
+#include <string>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "base/result.h"
+
+namespace pollenrudder {
+
+// Parses "ip:port" or "[ip]:port"; fails with kInvalidSettings.
+Result<boost::asio::ip::tcp::endpoint> ParseAddress(std::string_view address);
+
+// As ParseAddress(), for an address that was read from the log. One that can't
+// be parsed gives port 0 of the unspecified address, to which no connection
+// can be opened.
+boost::asio::ip::tcp::endpoint EndpointOf(std::string_view address);
+
+std::string FormatAddress(const boost::asio::ip::tcp::endpoint& endpoint);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_UPSTREAMS_ADDRESS_H_
--- a/packages/upstreams/connection_pool.cc
+++ b/packages/upstreams/connection_pool.cc
@@ -42,6 +42,11 @@
   ++count_;
   Connection connection = HttpClientConnection::Create(factory_(), limits_);
   HttpClientConnection& opening = *connection;
+  std::erase_if(opening_, [](const Opening& entry) {
+    const auto open = entry.connection.lock();
+    return !open || open->open();
+  });
+  opening_.push_back({BootClock::now(), connection});
   opening.Connect(endpoint_,
                   [alive = alive_, connection = std::move(connection),
                    handler = std::move(handler)](auto error) {
@@ -83,6 +88,20 @@
     Discard(connection);
 }
 
+void ConnectionPool::ExpireOpening(BootTime now,
+                                   std::chrono::nanoseconds limit) {
+  std::erase_if(opening_, [&](const Opening& entry) {
+    const Connection connection = entry.connection.lock();
+    if (!connection || connection->open())
+      return true;
+    if (now - entry.started < limit)
+      return false;
+    // The pending connect ends with an error, which is handled in Open().
+    connection->Close();
+    return true;
+  });
+}
+
 void ConnectionPool::OnIdleEnd(const HttpClientConnection* connection,
                                bool orderly) {
   const auto found = std::ranges::find(idle_, connection, &Connection::get);
--- a/packages/upstreams/connection_pool.h
+++ b/packages/upstreams/connection_pool.h
@@ -3,14 +3,15 @@
 #ifndef POLLENRUDDER_UPSTREAMS_CONNECTION_POOL_H_
 #define POLLENRUDDER_UPSTREAMS_CONNECTION_POOL_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "base/boot_clock.h"
 #include "upstreams/http_client_connection.h"
 
 namespace pollenrudder {
@@ -51,6 +52,8 @@
   void Give(const Connection& connection);
   void Discard(const Connection& connection);
   void CloseIdle();
+  // Gives up connections that have been opening for longer than `limit`.
+  void ExpireOpening(BootTime now, std::chrono::nanoseconds limit);
 
   void set_limit(std::uint32_t limit) { limit_ = limit; }
   std::uint32_t count() const { return count_; }
@@ -68,6 +71,11 @@
   std::uint32_t count_ = 0;
   // The connection used last is taken first, so that the others can age.
   std::vector<Connection> idle_;
+  struct Opening {
+    BootTime started;
+    std::weak_ptr<HttpClientConnection> connection;
+  };
+  std::vector<Opening> opening_;
   // Becomes null in handlers that outlive the pool.
   std::shared_ptr<ConnectionPool*> alive_;
 };
--- a/packages/upstreams/http_message.cc
+++ b/packages/upstreams/http_message.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <cassert>
 #include <charconv>
+#include <ostream>
 
 #include <boost/beast/http/status.hpp>
 
--- /dev/null
+++ b/packages/upstreams/upstream_leader.cc
@@ -0,0 +1,569 @@
+// UpstreamLeader: admission, sending and answers. Grants, probes and drains
+// are in upstream_leader_control.cc.
+
+#include "upstreams/upstream_leader.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "base/event_log.h"
+#include "routing/fingerprint.h"
+#include "upstreams/address.h"
+#include "upstreams/upstreams_events.h"
+
+namespace pollenrudder {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A request whose connection accepted nothing is sent on another one.
+constexpr std::uint32_t kMaxAttempts = 3;
+// A shorter rest of a lease is not worth a request.
+constexpr milliseconds kShortestRunBefore{1};
+
+std::uint32_t ShardOrZero(const UpstreamRequest& request) {
+  return request.shard.value_or(0);
+}
+
+milliseconds MillisecondsUntil(BootTime time, BootTime now) {
+  return std::chrono::duration_cast<milliseconds>(time - now);
+}
+
+std::uint64_t ToNumber(milliseconds duration) {
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(duration.count(), 0));
+}
+
+std::string UpstreamLabels(const std::string& upstream,
+                           std::string_view outcome) {
+  return "upstream=\"" + upstream + "\",outcome=\"" + std::string(outcome) +
+         "\"";
+}
+
+ErrorKind ErrorOf(AdmissionResult result) {
+  switch (result) {
+    case AdmissionResult::kDeadline:
+      return ErrorKind::kNotRunDeadline;
+    case AdmissionResult::kClosed:
+      return ErrorKind::kNotRunMoved;
+    default:
+      return ErrorKind::kNotRunOverloaded;
+  }
+}
+
+const ServiceSettings& SettingsOf(const RoutingTable& table,
+                                  const std::string& upstream) {
+  const RoutedUpstream* const routed = table.FindUpstream(upstream);
+  assert(routed);
+  const RoutedService* const service = table.FindService(routed->service);
+  assert(service);
+  return service->settings;
+}
+
+Admission::Options AdmissionOptions(const ServiceSettings& settings) {
+  Admission::Options options;
+  // Each request in flight needs a connection of its own.
+  options.slots = std::min(settings.slots, settings.connections);
+  options.queue_length = settings.queue_length;
+  return options;
+}
+
+}  // namespace
+
+UpstreamLeader::UpstreamLeader(const Context& context,
+                               std::string name,
+                               const RoutingTablePointer& table,
+                               std::shared_ptr<LeaseCell> lease)
+    : context_(context),
+      name_(std::move(name)),
+      lease_(std::move(lease)),
+      pool_(context.stream_factory,
+            EndpointOf(table->FindUpstream(name_)->address),
+            SettingsOf(*table, name_).connections,
+            ParseLimits{},
+            *this),
+      admission_(AdmissionOptions(SettingsOf(*table, name_))),
+      health_(UpstreamHealth::Options{}),
+      load_(BootClock::now()),
+      answered_(
+          context.metrics.CounterFor("pollenrudder_upstream_requests_total",
+                                     UpstreamLabels(name_, "answered"))),
+      not_run_(
+          context.metrics.CounterFor("pollenrudder_upstream_requests_total",
+                                     UpstreamLabels(name_, "not-run"))),
+      unknown_(
+          context.metrics.CounterFor("pollenrudder_upstream_requests_total",
+                                     UpstreamLabels(name_, "unknown"))),
+      region_bytes_(
+          context.metrics.CounterFor("pollenrudder_region_link_bytes_total",
+                                     "kind=\"data\"")),
+      duration_(
+          context.metrics.SummaryFor("pollenrudder_upstream_duration_seconds",
+                                     "upstream=\"" + name_ + "\"")) {
+  SetTable(table);
+  records_ = std::make_unique<RequestRecords>(upstream_->service, name_,
+                                              RequestRecords::Options{});
+}
+
+UpstreamLeader::~UpstreamLeader() {
+  StopCall(grant_);
+  StopCall(probe_);
+  for (auto& [ticket, item] : items_) {
+    if (item.connection)
+      pool_.Discard(item.connection);
+  }
+}
+
+LogOffset UpstreamLeader::EpochOf(std::uint32_t shard) const {
+  if (!service_->settings.divided_by_key)
+    return upstream_->leader_since;
+  if (shard >= service_->shard_owners.size() ||
+      service_->shard_owners[shard] != upstream_index_)
+    return kNoOffset;
+  return std::max(service_->shard_offsets[shard], upstream_->leader_since);
+}
+
+bool UpstreamLeader::HasLease(BootTime now) const {
+  return upstream_->leader_since == lease_->fence &&
+         lease_->valid_until() - now >= kShortestRunBefore;
+}
+
+std::optional<ErrorKind> UpstreamLeader::FindRefusal(
+    const UpstreamRequest& request,
+    BootTime now) const {
+  const std::uint32_t shard = ShardOrZero(request);
+  const LogOffset epoch = EpochOf(shard);
+  if (released_ || epoch == kNoOffset || epoch != request.epoch ||
+      request.shard.has_value() != service_->settings.divided_by_key ||
+      drains_.IsBlocked(shard))
+    return ErrorKind::kNotRunMoved;
+  if (!HasLease(now))
+    return ErrorKind::kNotRunNoLease;
+  if (request.deadline <= now)
+    return ErrorKind::kNotRunDeadline;
+  return std::nullopt;
+}
+
+void UpstreamLeader::Submit(std::uint64_t ticket,
+                            UpstreamRequest request,
+                            UpstreamCallback callback) {
+  const BootTime now = BootClock::now();
+  Item& item = items_[ticket];
+  item.request = std::move(request);
+  item.callback = std::move(callback);
+  if (const auto refusal = FindRefusal(item.request, now)) {
+    Refuse(ticket, *refusal);
+    return;
+  }
+  if (health_.state() == UpstreamHealth::State::kLost) {
+    Refuse(ticket, ErrorKind::kNotRunUnreachable);
+    return;
+  }
+  const HttpRequest& http = item.request.http;
+  item.fingerprint = RequestFingerprint(item.request.service, http.method,
+                                        http.target, http.body);
+  const Quarantine::Mark mark =
+      context_.quarantine.Check(item.request.service, item.fingerprint, now);
+  if (mark == Quarantine::Mark::kQuarantined) {
+    Refuse(ticket, ErrorKind::kNotRunQuarantined);
+    return;
+  }
+  item.suspect = mark == Quarantine::Mark::kSuspect;
+  if (!item.request.request_id.empty() && !BeginRecord(item, now)) {
+    items_.erase(ticket);
+    return;
+  }
+  Admit(ticket, item, now);
+  PumpReady();
+}
+
+bool UpstreamLeader::BeginRecord(Item& item, BootTime now) {
+  const auto answer_error = [&](ErrorKind error) {
+    not_run_.Add();
+    item.callback({error, {}, item.request.request_id});
+  };
+  auto id = RequestId::Parse(item.request.request_id);
+  if (!id || id.value().service != item.request.service ||
+      id.value().upstream != name_ ||
+      id.value().shard != ShardOrZero(item.request)) {
+    answer_error(ErrorKind::kInvalidRequestId);
+    return false;
+  }
+  RequestBegin begin =
+      records_->Begin(id.value(), EpochOf(ShardOrZero(item.request)), now);
+  switch (begin.kind) {
+    case RequestBegin::Kind::kRun:
+      item.recorded_id = std::move(id.value());
+      return true;
+    case RequestBegin::Kind::kRepeatAnswered: {
+      UpstreamAnswer answer;
+      answer.response.status = begin.answer->status;
+      answer.response.header_lines = begin.answer->headers;
+      answer.response.body = begin.answer->body;
+      answer.request_id = item.request.request_id;
+      answered_.Add();
+      item.callback(std::move(answer));
+      return false;
+    }
+    default:
+      answer_error(begin.error);
+      return false;
+  }
+}
+
+void UpstreamLeader::Admit(std::uint64_t ticket,
+                           const Item& item,
+                           BootTime now) {
+  AdmissionRequest request;
+  request.ticket = ticket;
+  request.flow = item.request.flow;
+  request.deadline = item.request.deadline;
+  request.suspect = item.suspect;
+  const Admission::Decision decision = admission_.Submit(request, now);
+  if (decision.displaced)
+    Refuse(*decision.displaced, ErrorKind::kNotRunOverloaded);
+  switch (decision.result) {
+    case AdmissionResult::kQueued:
+      return;
+    case AdmissionResult::kStart:
+      items_.at(ticket).state = ItemState::kReady;
+      ready_.push_back(ticket);
+      return;
+    default:
+      Refuse(ticket, ErrorOf(decision.result));
+      return;
+  }
+}
+
+void UpstreamLeader::PumpAdmission(BootTime now) {
+  while (const auto verdict = admission_.Next(now)) {
+    const auto found = items_.find(verdict->ticket);
+    if (found == items_.end())
+      continue;
+    if (verdict->result == AdmissionResult::kStart) {
+      found->second.state = ItemState::kReady;
+      ready_.push_back(verdict->ticket);
+    } else {
+      Refuse(verdict->ticket, ErrorOf(verdict->result));
+    }
+  }
+}
+
+void UpstreamLeader::PumpReady() {
+  while (!ready_.empty()) {
+    if (!granted_ || health_.state() != UpstreamHealth::State::kReachable)
+      return;
+    const ConnectionPool::Connection connection = pool_.Take();
+    if (!connection) {
+      if (pool_.CanOpen() && opening_ < ready_.size()) {
+        ++opening_;
+        pool_.Open([this](const ConnectionPool::Connection& opened) {
+          --opening_;
+          if (opened)
+            pool_.Give(opened);
+          else
+            OnTrouble();
+          PumpReady();
+        });
+      }
+      return;
+    }
+    const std::uint64_t ticket = ready_.front();
+    ready_.pop_front();
+    Send(ticket, connection);
+  }
+}
+
+void UpstreamLeader::Send(std::uint64_t ticket,
+                          const ConnectionPool::Connection& connection) {
+  Item& item = items_.at(ticket);
+  const BootTime now = BootClock::now();
+  if (const auto refusal = FindRefusal(item.request, now)) {
+    pool_.Give(connection);
+    Refuse(ticket, *refusal);
+    return;
+  }
+  const std::uint32_t shard = ShardOrZero(item.request);
+  if (drains_.in_flight() == 0)
+    health_.OnBusy(now);
+  drains_.OnSent(shard);
+  if (item.attempts++ == 0)
+    load_.Count(shard);
+  item.state = ItemState::kSent;
+  item.connection = connection;
+  item.sent_at = now;
+  item.run_before = now + std::min<BootTime::duration>(
+                              kRunBefore, lease_->valid_until() - now);
+  item.sent_id = item.request.request_id.empty()
+                     ? context_.id_prefix + std::to_string(ticket)
+                     : item.request.request_id;
+  std::string text = FormatRequest(item.request.http, ControlLines(item, now));
+  if (upstream_->region != context_.region)
+    region_bytes_.Add(text.size());
+  connection->Exchange(
+      std::move(text), item.request.http.method == "HEAD",
+      [this, ticket](HttpClientConnection::ExchangeResult result) {
+        OnExchangeEnded(ticket, std::move(result));
+      });
+}
+
+std::string UpstreamLeader::ControlLines(const Item& item, BootTime now) const {
+  constexpr std::size_t kUsualBytes = 256;
+  std::string lines;
+  lines.reserve(kUsualBytes);
+  AppendHeader(lines, "Pollenrudder-Fence", item.request.epoch);
+  AppendHeader(lines, "Pollenrudder-Shard", ShardOrZero(item.request));
+  AppendHeader(lines, "Pollenrudder-Run-Before",
+               ToNumber(MillisecondsUntil(item.run_before, now)));
+  AppendHeader(lines, "Pollenrudder-Deadline",
+               ToNumber(MillisecondsUntil(item.request.deadline, now)));
+  AppendHeader(lines, "Pollenrudder-Request-Id", item.sent_id);
+  return lines;
+}
+
+void UpstreamLeader::OnExchangeEnded(
+    std::uint64_t ticket,
+    HttpClientConnection::ExchangeResult result) {
+  const auto found = items_.find(ticket);
+  assert(found != items_.end());
+  Item& item = found->second;
+  switch (result.end) {
+    case HttpClientConnection::End::kAnswered:
+      OnAnswered(ticket, item, std::move(result.response));
+      break;
+    case HttpClientConnection::End::kNotWritten:
+      drains_.OnEnded(ShardOrZero(item.request));
+      pool_.Discard(std::exchange(item.connection, nullptr));
+      if (item.attempts < kMaxAttempts) {
+        item.state = ItemState::kReady;
+        ready_.push_front(ticket);
+      } else {
+        item.state = ItemState::kReady;
+        Refuse(ticket, ErrorKind::kNotRunUnreachable);
+      }
+      OnTrouble();
+      break;
+    case HttpClientConnection::End::kLost:
+      OnDisconnected(ticket, item, ErrorKind::kUnknownUpstreamLost);
+      break;
+    case HttpClientConnection::End::kDamaged:
+      OnDisconnected(ticket, item, ErrorKind::kUnknownAnswerDamaged);
+      break;
+  }
+  const BootTime now = BootClock::now();
+  PumpAdmission(now);
+  PumpReady();
+  ReportDrains(now);
+}
+
+void UpstreamLeader::OnAnswered(std::uint64_t ticket,
+                                Item& item,
+                                HttpResponse response) {
+  const BootTime now = BootClock::now();
+  const auto id = FindHeader(response.control_lines, "Pollenrudder-Request-Id");
+  const bool refused =
+      response.status == 503 &&
+      FindHeader(response.control_lines, "Pollenrudder-Not-Run") == "1";
+  if (upstream_->region != context_.region) {
+    region_bytes_.Add(response.header_lines.size() +
+                      response.control_lines.size() + response.body.size());
+  }
+  // An upstream that echoes ids does so in every answer it gives, so that a
+  // missing id is as wrong as another request's.
+  const bool other_id = service_->settings.echoes_request_id
+                            ? id != item.sent_id
+                            : id.has_value() && id != item.sent_id;
+  if (other_id) {
+    EventLog::Write(kAnswerDamaged, {{"upstream", name_},
+                                     {"request_id", item.sent_id},
+                                     {"answered_id", id.value_or("")}});
+    Abandon(ticket, ErrorKind::kUnknownAnswerDamaged, false);
+    return;
+  }
+  const bool was_reachable =
+      health_.state() == UpstreamHealth::State::kReachable;
+  health_.OnAnswer(now);
+  if (!was_reachable)
+    OnReachable();
+  duration_.Observe(now - item.sent_at);
+  drains_.OnEnded(ShardOrZero(item.request));
+  pool_.Give(std::exchange(item.connection, nullptr));
+  UpstreamAnswer answer;
+  answer.request_id = item.sent_id;
+  if (refused) {
+    const auto kind = ErrorKindFromName(
+        FindHeader(response.control_lines, "Pollenrudder-Error").value_or(""));
+    answer.error = kind && AnswerFor(*kind).outcome == Outcome::kNotRun
+                       ? *kind
+                       : ErrorKind::kNotRunOverloaded;
+    End(ticket, std::move(answer), SlotEnd::kShed);
+    return;
+  }
+  context_.quarantine.RecordAnswer(item.request.service, item.fingerprint, now);
+  answer.response = std::move(response);
+  answer.response.control_lines.clear();
+  End(ticket, std::move(answer), SlotEnd::kAnswered);
+}
+
+void UpstreamLeader::OnDisconnected(std::uint64_t ticket,
+                                    Item& item,
+                                    ErrorKind error) {
+  lost_fingerprints_[item.fingerprint] |= item.suspect;
+  Abandon(ticket, error, true);
+  OnTrouble();
+}
+
+void UpstreamLeader::End(std::uint64_t ticket,
+                         UpstreamAnswer answer,
+                         SlotEnd slot_end) {
+  auto node = items_.extract(ticket);
+  assert(!node.empty());
+  Item& item = node.mapped();
+  assert(!item.connection);
+  const BootTime now = BootClock::now();
+  if (item.state == ItemState::kWaiting)
+    admission_.Cancel(ticket);
+  else
+    admission_.Finished(ticket, slot_end, now);
+  if (item.state == ItemState::kReady)
+    std::erase(ready_, ticket);
+  FinishRecord(item, answer);
+  const Outcome outcome =
+      answer.error ? AnswerFor(*answer.error).outcome : Outcome::kAnswered;
+  switch (outcome) {
+    case Outcome::kAnswered:
+      answered_.Add();
+      break;
+    case Outcome::kNotRun:
+      not_run_.Add();
+      break;
+    case Outcome::kUnknown:
+      unknown_.Add();
+      break;
+  }
+  if (item.callback)
+    item.callback(std::move(answer));
+}
+
+void UpstreamLeader::FinishRecord(const Item& item,
+                                  const UpstreamAnswer& answer) {
+  if (!item.recorded_id)
+    return;
+  const BootTime now = BootClock::now();
+  if (!answer.error) {
+    records_->FinishAnswered(
+        *item.recorded_id,
+        {answer.response.status, answer.response.header_lines,
+         answer.response.body},
+        now);
+  } else if (AnswerFor(*answer.error).outcome == Outcome::kNotRun) {
+    records_->FinishNotRun(*item.recorded_id, now);
+  } else {
+    records_->FinishUnknown(*item.recorded_id, *answer.error, now);
+  }
+}
+
+void UpstreamLeader::Refuse(std::uint64_t ticket, ErrorKind error) {
+  assert(AnswerFor(error).outcome == Outcome::kNotRun);
+  UpstreamAnswer answer;
+  answer.error = error;
+  End(ticket, std::move(answer), SlotEnd::kFailed);
+}
+
+void UpstreamLeader::Abandon(std::uint64_t ticket, ErrorKind error, bool hold) {
+  Item& item = items_.at(ticket);
+  assert(item.state == ItemState::kSent);
+  pool_.Discard(std::exchange(item.connection, nullptr));
+  // An upstream that checks fences starts nothing after run-before. One that
+  // does not may run the request until its deadline.
+  const BootTime busy_until =
+      service_->settings.checks_fence
+          ? item.run_before
+          : std::max(item.run_before, item.request.deadline);
+  drains_.OnAbandoned(ShardOrZero(item.request), busy_until);
+  UpstreamAnswer answer;
+  answer.error = error;
+  answer.request_id = item.sent_id;
+  if (hold && item.callback) {
+    held_.push_back({std::exchange(item.callback, nullptr), answer,
+                     item.fingerprint, item.request.deadline});
+  }
+  End(ticket, std::move(answer), SlotEnd::kFailed);
+}
+
+void UpstreamLeader::ReleaseHeld(BootTime now, bool all) {
+  std::vector<HeldAnswer> released;
+  std::erase_if(held_, [&](HeldAnswer& held) {
+    if (!all && held.until > now)
+      return false;
+    released.push_back(std::move(held));
+    return true;
+  });
+  for (HeldAnswer& held : released)
+    held.callback(std::move(held.answer));
+}
+
+void UpstreamLeader::OnMarked(const std::vector<std::uint64_t>& fingerprints) {
+  for (HeldAnswer& held : held_) {
+    if (std::ranges::find(fingerprints, held.fingerprint) != fingerprints.end())
+      held.until = BootTime();
+  }
+  ReleaseHeld(BootClock::now(), false);
+}
+
+bool UpstreamLeader::Cancel(std::uint64_t ticket) {
+  const auto found = items_.find(ticket);
+  if (found == items_.end())
+    return false;
+  found->second.callback = nullptr;
+  if (found->second.state == ItemState::kSent)
+    Abandon(ticket, ErrorKind::kUnknownUpstreamLost, false);
+  else
+    Refuse(ticket, ErrorKind::kNotRunShuttingDown);
+  const BootTime now = BootClock::now();
+  PumpAdmission(now);
+  PumpReady();
+  return true;
+}
+
+IssuedIds UpstreamLeader::Issue(std::optional<std::uint32_t> shard,
+                                std::uint32_t count) {
+  const BootTime now = BootClock::now();
+  const std::uint32_t number = shard.value_or(0);
+  const LogOffset epoch = EpochOf(number);
+  if (released_ || epoch == kNoOffset || drains_.IsBlocked(number))
+    return {ErrorKind::kNotRunMoved, {}};
+  if (!HasLease(now))
+    return {ErrorKind::kNotRunNoLease, {}};
+  IssuedIds issued;
+  for (std::uint32_t index = 0; index < count; ++index)
+    issued.ids.push_back(records_->Issue(number, epoch, now).ToText());
+  return issued;
+}
+
+void UpstreamLeader::RefuseWaiting(ErrorKind error) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [ticket, item] : items_) {
+    if (item.state != ItemState::kSent)
+      waiting.push_back(ticket);
+  }
+  for (const std::uint64_t ticket : waiting)
+    Refuse(ticket, error);
+}
+
+void UpstreamLeader::CheckDeadlines(BootTime now) {
+  std::vector<std::uint64_t> ended;
+  for (const auto& [ticket, item] : items_) {
+    if (item.request.deadline <= now)
+      ended.push_back(ticket);
+  }
+  for (const std::uint64_t ticket : ended) {
+    if (items_.at(ticket).state == ItemState::kSent)
+      Abandon(ticket, ErrorKind::kUnknownDeadline, false);
+    else
+      Refuse(ticket, ErrorKind::kNotRunDeadline);
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -0,0 +1,352 @@
+// UpstreamLeader: grants, probes, loss, drains and the change of tables.
+
+#include <algorithm>
+#include <cassert>
+#include <string>
+#include <utility>
+
+#include "base/event_log.h"
+#include "upstreams/upstream_leader.h"
+#include "upstreams/upstreams_events.h"
+
+namespace pollenrudder {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kGrantTimeout{300};
+constexpr milliseconds kGrantPause{100};
+constexpr milliseconds kConnectTimeout{500};
+
+using State = UpstreamHealth::State;
+
+}  // namespace
+
+void UpstreamLeader::SetTable(const RoutingTablePointer& table) {
+  const RoutedUpstream* const upstream = table->FindUpstream(name_);
+  assert(upstream);
+  table_ = table;
+  upstream_ = upstream;
+  upstream_index_ =
+      static_cast<std::uint32_t>(upstream - table->upstreams.data());
+  service_ = table->FindService(upstream->service);
+  assert(service_);
+  const ServiceSettings& settings = service_->settings;
+  pool_.set_limit(settings.connections);
+  admission_.SetLimits(std::min(settings.slots, settings.connections),
+                       settings.queue_length);
+  drains_.OnTable([this](std::uint32_t shard) { return EpochOf(shard); });
+}
+
+void UpstreamLeader::SetLease(const std::shared_ptr<LeaseCell>& lease,
+                              bool ended) {
+  const BootTime now = BootClock::now();
+  if (lease->fence != lease_->fence) {
+    // A record belongs to one term as leader; ids of another are refused.
+    records_ = std::make_unique<RequestRecords>(upstream_->service, name_,
+                                                RequestRecords::Options{});
+    granted_ = false;
+    StopCall(grant_);
+    drains_.UnblockWhole();
+  }
+  lease_ = lease;
+  released_ = false;
+  if (ended) {
+    lease_ended_ = true;
+  } else if (lease_ended_ && HasLease(now)) {
+    lease_ended_ = false;
+    drains_.UnblockWhole();
+  }
+  Tick(now);
+}
+
+void UpstreamLeader::Release() {
+  if (released_)
+    return;
+  released_ = true;
+  EventLog::Write(kUpstreamReleased, {{"upstream", name_}});
+  RefuseWaiting(ErrorKind::kNotRunMoved);
+  StopCall(grant_);
+  StopCall(probe_);
+  // The next leader needs the connections.
+  pool_.set_limit(0);
+  pool_.CloseIdle();
+  ReleaseHeld(BootClock::now(), true);
+}
+
+void UpstreamLeader::Drain(const DrainShards& drain) {
+  EventLog::Write(kDrainStarted, {{"upstream", name_},
+                                  {"shards", drain.shards.size()},
+                                  {"whole", drain.whole ? "true" : "false"}});
+  drains_.Start(drain.shards, drain.whole,
+                [this](std::uint32_t shard) { return EpochOf(shard); });
+  std::vector<std::uint64_t> waiting;
+  std::vector<std::uint64_t> sent;
+  for (const auto& [ticket, item] : items_) {
+    if (!drains_.IsBlocked(item.request.shard.value_or(0)))
+      continue;
+    (item.state == ItemState::kSent ? sent : waiting).push_back(ticket);
+  }
+  for (const std::uint64_t ticket : waiting)
+    Refuse(ticket, ErrorKind::kNotRunMoved);
+  if (drain.upstream_lost) {
+    for (const std::uint64_t ticket : sent)
+      Abandon(ticket, ErrorKind::kUnknownUpstreamLost, true);
+  }
+  ReportDrains(BootClock::now());
+}
+
+void UpstreamLeader::ReportDrains(BootTime now) {
+  if (!drains_.is_waiting())
+    return;
+  for (auto& finished : drains_.TakeFinished(now)) {
+    EventLog::Write(kDrainFinished,
+                    {{"upstream", name_}, {"shards", finished.shards.size()}});
+    context_.listener.OnDrainFinished({name_, std::move(finished.shards)});
+  }
+}
+
+void UpstreamLeader::Tick(BootTime now) {
+  CheckDeadlines(now);
+  PumpAdmission(now);
+  ReleaseHeld(now, false);
+  pool_.ExpireOpening(now, kConnectTimeout);
+  if (released_)
+    return;
+  if (grant_.active && now - grant_.sent_at >= kGrantTimeout) {
+    StopCall(grant_);
+    EndGrant(false);
+  }
+  if (health_.IsProbeOverdue(now)) {
+    StopCall(probe_);
+    EndProbe(false);
+  }
+  if (HasLease(now)) {
+    if (health_.IsProbeDue(drains_.in_flight() > 0, now))
+      StartProbe(now);
+    if (!granted_ && !grant_.active && now >= next_grant_ &&
+        health_.state() == State::kReachable)
+      StartGrant(now);
+  }
+  PumpReady();
+  ReportDrains(now);
+}
+
+bool UpstreamLeader::needs_tick(BootTime now) const {
+  if (!items_.empty() || !held_.empty() || drains_.is_waiting() ||
+      probe_.active || grant_.active)
+    return true;
+  return HasLease(now) && (!granted_ || health_.state() != State::kReachable);
+}
+
+UpstreamLoad UpstreamLeader::Report(BootTime now) {
+  const std::string labels = "upstream=\"" + name_ + "\"";
+  Metrics& metrics = context_.metrics;
+  metrics.Set("pollenrudder_upstream_in_flight", labels, drains_.in_flight());
+  metrics.Set("pollenrudder_upstream_waiting", labels, admission_.waiting());
+  metrics.Set("pollenrudder_upstream_connections", labels, pool_.count());
+  metrics.Set("pollenrudder_request_records", labels,
+              static_cast<double>(records_->size()));
+  records_->DropEnded(now);
+  return load_.Report(upstream_->service, name_,
+                      service_->settings.divided_by_key, drains_.in_flight(),
+                      now);
+}
+
+void UpstreamLeader::StartGrant(BootTime now) {
+  next_grant_ = now + kGrantPause;
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/pollenrudder/grant";
+  AppendHeader(request.header_lines, "Host", upstream_->address);
+  AppendHeader(request.header_lines, "Content-Type", "application/json");
+  request.body = "{\"fence\": " + std::to_string(lease_->fence) + "}";
+  StartCall(grant_, false, FormatRequest(request, {}),
+            [this](const std::optional<HttpResponse>& response) {
+              // An upstream that does not check fences may not know grants.
+              EndGrant(response && (response->status / 100 == 2 ||
+                                    !service_->settings.checks_fence));
+              if (!response)
+                OnTrouble();
+            });
+}
+
+void UpstreamLeader::EndGrant(bool accepted) {
+  context_.metrics.Count(
+      "pollenrudder_grants_total",
+      accepted ? "result=\"accepted\"" : "result=\"failed\"");
+  EventLog::Write(accepted ? kGrantAccepted : kGrantFailed,
+                  {{"upstream", name_}, {"fence", lease_->fence}});
+  if (!accepted)
+    return;
+  granted_ = true;
+  health_.OnAnswer(BootClock::now());
+  context_.listener.OnUpstreamObserved(
+      {name_, UpstreamObserved::State::kReachable, {}});
+  PumpReady();
+}
+
+void UpstreamLeader::StartProbe(BootTime now) {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/pollenrudder/health";
+  AppendHeader(request.header_lines, "Host", upstream_->address);
+  StartCall(probe_, true, FormatRequest(request, {}),
+            [this](const std::optional<HttpResponse>& response) {
+              EndProbe(response.has_value());
+            });
+  if (probe_.active) {
+    health_.OnProbeSent(now);
+    context_.metrics.Count("pollenrudder_probes_total");
+  }
+}
+
+void UpstreamLeader::EndProbe(bool answered) {
+  const BootTime now = BootClock::now();
+  const State before = health_.state();
+  if (answered)
+    health_.OnProbeAnswered(now);
+  else
+    health_.OnProbeFailed(now);
+  const State after = health_.state();
+  if (before == after)
+    return;
+  if (after == State::kReachable) {
+    OnReachable();
+  } else if (after == State::kLost) {
+    OnLost();
+  } else {
+    EventLog::Write(kUpstreamSuspect, {{"upstream", name_}});
+    context_.listener.OnUpstreamObserved(
+        {name_, UpstreamObserved::State::kSuspect, {}});
+  }
+}
+
+void UpstreamLeader::StartCall(ControlCall& call,
+                               bool new_connection,
+                               std::string request,
+                               ControlHandler handler) {
+  assert(!call.active);
+  call.number = ++control_sequence_;
+  call.sent_at = BootClock::now();
+  const bool open = new_connection && pool_.CanOpen();
+  const ConnectionPool::Connection idle = open ? nullptr : pool_.Take();
+  if (!idle && !pool_.CanOpen())
+    return;
+  call.active = true;
+  if (idle) {
+    SendCall(call, idle, std::move(request), std::move(handler));
+    return;
+  }
+  pool_.Open(
+      [this, &call, number = call.number, request = std::move(request),
+       handler = std::move(handler)](const ConnectionPool::Connection& opened) {
+        if (!call.active || call.number != number) {
+          if (opened)
+            pool_.Give(opened);
+          return;
+        }
+        if (!opened) {
+          call.active = false;
+          handler(std::nullopt);
+          return;
+        }
+        SendCall(call, opened, request, handler);
+      });
+}
+
+void UpstreamLeader::SendCall(ControlCall& call,
+                              const ConnectionPool::Connection& connection,
+                              std::string request,
+                              ControlHandler handler) {
+  call.connection = connection;
+  connection->Exchange(
+      std::move(request), false,
+      [this, &call, handler = std::move(handler)](
+          HttpClientConnection::ExchangeResult result) {
+        call.active = false;
+        const auto used = std::exchange(call.connection, nullptr);
+        if (result.end == HttpClientConnection::End::kAnswered) {
+          pool_.Give(used);
+          handler(std::move(result.response));
+        } else {
+          pool_.Discard(used);
+          handler(std::nullopt);
+        }
+      });
+}
+
+void UpstreamLeader::StopCall(ControlCall& call) {
+  call.active = false;
+  if (call.connection)
+    pool_.Discard(std::exchange(call.connection, nullptr));
+}
+
+void UpstreamLeader::OnIdleConnectionEnded(bool orderly) {
+  // A server may close idle connections in order at any time. A crashed one
+  // ends them all; the next request or probe tells.
+  if (!orderly || pool_.count() == 0)
+    OnTrouble();
+}
+
+void UpstreamLeader::OnTrouble() {
+  if (released_ || health_.state() != State::kReachable)
+    return;
+  const BootTime now = BootClock::now();
+  health_.OnTrouble(now);
+  EventLog::Write(kUpstreamSuspect, {{"upstream", name_}});
+  context_.listener.OnUpstreamObserved(
+      {name_, UpstreamObserved::State::kSuspect, {}});
+  if (HasLease(now) && health_.IsProbeDue(false, now))
+    StartProbe(now);
+  context_.request_tick();
+}
+
+void UpstreamLeader::OnReachable() {
+  EventLog::Write(kUpstreamReachable, {{"upstream", name_}});
+  lost_fingerprints_.clear();
+  // It may have been restarted: it gets the fence again before any request.
+  granted_ = false;
+  next_grant_ = BootTime();
+  context_.request_tick();
+  ReleaseHeld(BootClock::now(), true);
+  context_.listener.OnUpstreamObserved(
+      {name_, UpstreamObserved::State::kReachable, {}});
+}
+
+void UpstreamLeader::OnLost() {
+  const BootTime now = BootClock::now();
+  std::vector<std::uint64_t> sent;
+  for (const auto& [ticket, item] : items_) {
+    if (item.state == ItemState::kSent) {
+      sent.push_back(ticket);
+      lost_fingerprints_[item.fingerprint] |= item.suspect;
+    }
+  }
+  for (const std::uint64_t ticket : sent)
+    Abandon(ticket, ErrorKind::kUnknownUpstreamLost, true);
+  RefuseWaiting(ErrorKind::kNotRunUnreachable);
+  pool_.CloseIdle();
+  granted_ = false;
+  StopCall(grant_);
+  admission_.SetCold(now);
+  UpstreamObserved event{name_, UpstreamObserved::State::kLost, {}};
+  for (const auto& [fingerprint, alone] : lost_fingerprints_) {
+    event.suspect_fingerprints.push_back(fingerprint);
+    const Quarantine::Mark mark = context_.quarantine.RecordCrash(
+        upstream_->service, fingerprint, alone, now);
+    if (mark == Quarantine::Mark::kQuarantined) {
+      EventLog::Write(kFingerprintConfirmed,
+                      {{"upstream", name_}, {"fingerprint", fingerprint}});
+      context_.listener.OnFingerprintConfirmed(
+          {upstream_->service, fingerprint});
+    }
+  }
+  EventLog::Write(
+      kUpstreamLost,
+      {{"upstream", name_}, {"suspects", event.suspect_fingerprints.size()}});
+  lost_fingerprints_.clear();
+  context_.listener.OnUpstreamObserved(std::move(event));
+}
+
+}  // namespace pollenrudder
--- a/packages/upstreams/upstreams_events.h
+++ b/packages/upstreams/upstreams_events.h
@@ -31,8 +31,8 @@
 inline constexpr LogEvent kAnswerDamaged{6008, "answer_damaged",
                                          LogLevel::kWarning};
 // A second upstream was lost while it ran one suspect request alone.
-inline constexpr LogEvent kFingerprintConfirmed{
-    6009, "fingerprint_confirmed", LogLevel::kWarning};
+inline constexpr LogEvent kFingerprintConfirmed{6009, "fingerprint_confirmed",
+                                                LogLevel::kWarning};
 // This instance stopped leading an upstream; its connections are closed.
 inline constexpr LogEvent kUpstreamReleased{6010, "upstream_released",
                                             LogLevel::kInfo};
