--- /dev/null
+++ b/packages/callers/caller_session.cc
@@ -0,0 +1,208 @@
+// CallerSession.
+
+#include "callers/caller_session.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+#include "callers/callers_events.h"
+#include "callers/error_response.h"
+
+namespace pollenrudder {
+namespace {
+
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = 8 << 10;
+// What a caller may send ahead while a request is handled.
+constexpr std::size_t kMaxAheadBytes = 64 << 10;
+constexpr std::chrono::seconds kIdleTimeout{75};
+constexpr std::chrono::seconds kReceiveTimeout{30};
+constexpr std::chrono::seconds kRespondTimeout{30};
+// Handlers end by the deadline of the request; this is a last resort.
+constexpr std::chrono::minutes kHandleTimeout{30};
+
+std::chrono::nanoseconds TimeoutOf(bool idle, bool receiving, bool handling) {
+  if (idle)
+    return kIdleTimeout;
+  if (receiving)
+    return kReceiveTimeout;
+  if (handling)
+    return kHandleTimeout;
+  return kRespondTimeout;
+}
+
+}  // namespace
+
+CallerSession::CallerSession(std::unique_ptr<ByteStream> stream,
+                             const ParseLimits& limits,
+                             Owner& owner)
+    : stream_(std::move(stream)),
+      limits_(limits),
+      owner_(owner),
+      body_limit_([this](const HttpRequest& request) {
+        return owner_.handler().BodyLimit(request);
+      }) {}
+
+CallerSession::~CallerSession() = default;
+
+void CallerSession::Start() {
+  EnterPhase(Phase::kReceiving);
+  stream_->Accept([self = shared_from_this()](error_code error) {
+    if (error) {
+      self->Close();
+      return;
+    }
+    self->EnterPhase(Phase::kIdle);
+    self->StartRead();
+  });
+}
+
+void CallerSession::CheckTimeout(BootTime now) {
+  if (now >= phase_end_)
+    Close();
+}
+
+void CallerSession::CloseIfIdle() {
+  if (phase_ == Phase::kIdle)
+    Close();
+}
+
+void CallerSession::Close() {
+  if (phase_ == Phase::kEnded)
+    return;
+  const auto self = shared_from_this();
+  phase_ = Phase::kEnded;
+  stream_->Close();
+  if (const auto exchange = std::exchange(exchange_, nullptr))
+    exchange->Cancel();
+  owner_.OnSessionEnded(*this);
+}
+
+void CallerSession::EnterPhase(Phase phase) {
+  if (phase_ == Phase::kEnded)
+    return;
+  phase_ = phase;
+  phase_end_ = BootClock::now() + TimeoutOf(phase == Phase::kIdle,
+                                            phase == Phase::kReceiving,
+                                            phase == Phase::kHandling);
+}
+
+void CallerSession::StartRead() {
+  if (reading_ || phase_ == Phase::kEnded)
+    return;
+  // A caller that sends far ahead is read again after the response.
+  if (phase_ == Phase::kHandling && buffer_.size() >= kMaxAheadBytes)
+    return;
+  reading_ = true;
+  stream_->ReadSome(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](error_code error, std::size_t bytes) {
+        self->OnRead(error, bytes);
+      });
+}
+
+void CallerSession::OnRead(error_code error, std::size_t bytes) {
+  reading_ = false;
+  if (phase_ == Phase::kEnded)
+    return;
+  if (error) {
+    // A caller that closes after its last request still gets the response
+    // that is being written.
+    if (phase_ == Phase::kResponding)
+      keep_alive_ = false;
+    else
+      Close();
+    return;
+  }
+  buffer_.commit(bytes);
+  if (phase_ == Phase::kIdle || phase_ == Phase::kReceiving)
+    Parse();
+  StartRead();
+}
+
+void CallerSession::Parse() {
+  if (!parser_)
+    parser_ = std::make_unique<HttpRequestParser>(limits_, body_limit_);
+  switch (parser_->Parse(buffer_)) {
+    case ParseStatus::kNeedMore:
+      if (phase_ == Phase::kIdle)
+        EnterPhase(Phase::kReceiving);
+      if (parser_->TakeExpectContinue())
+        Write("HTTP/1.1 100 Continue\r\n\r\n", [](error_code) {});
+      return;
+    case ParseStatus::kDone:
+      OnRequest();
+      return;
+    case ParseStatus::kMalformed:
+      Refuse(ErrorKind::kMalformedRequest);
+      return;
+    case ParseStatus::kHeaderTooLarge:
+      Refuse(ErrorKind::kHeaderTooLarge);
+      return;
+    case ParseStatus::kBodyTooLarge:
+      Refuse(ErrorKind::kBodyTooLarge);
+      return;
+  }
+}
+
+void CallerSession::OnRequest() {
+  const auto parser = std::move(parser_);
+  HttpRequest& request = parser->request();
+  head_request_ = request.method == "HEAD";
+  keep_alive_ = request.keep_alive;
+  EnterPhase(Phase::kHandling);
+  exchange_ = std::make_shared<CallerExchange>(
+      std::move(request), stream_->remote_endpoint(),
+      [self = shared_from_this()](HttpResponse response) {
+        self->Respond(std::move(response), false);
+      });
+  owner_.handler().Handle(exchange_);
+}
+
+void CallerSession::Refuse(ErrorKind kind) {
+  EventLog::WriteLazily(kRequestRefused, [kind] {
+    return std::vector<LogField>{{"error", AnswerFor(kind).name}};
+  });
+  EnterPhase(Phase::kHandling);
+  // What follows on the connection can't be read as a request.
+  Respond(CreateErrorResponse(kind, {}), true);
+}
+
+void CallerSession::Respond(HttpResponse response, bool close) {
+  exchange_ = nullptr;
+  if (phase_ == Phase::kEnded)
+    return;
+  close_after_response_ = close || !keep_alive_ || owner_.is_closing();
+  EnterPhase(Phase::kResponding);
+  Write(FormatResponse(response, head_request_, close_after_response_),
+        [self = shared_from_this()](error_code error) {
+          self->OnResponseWritten(error);
+        });
+}
+
+void CallerSession::OnResponseWritten(error_code error) {
+  if (phase_ == Phase::kEnded)
+    return;
+  if (error || close_after_response_ || !keep_alive_) {
+    Close();
+    return;
+  }
+  EnterPhase(Phase::kIdle);
+  if (buffer_.size() > 0)
+    Parse();
+  else if (owner_.is_closing())
+    Close();
+  StartRead();
+}
+
+void CallerSession::Write(std::string text,
+                          std::function<void(error_code)> handler) {
+  auto shared = std::make_shared<std::string>(std::move(text));
+  const auto buffer = boost::asio::buffer(*shared);
+  stream_->Write(
+      buffer, [shared = std::move(shared), handler = std::move(handler)](
+                  error_code error, std::size_t /*bytes*/) { handler(error); });
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/callers/caller_session.h
@@ -0,0 +1,81 @@
+// One connection to an HTTP server of the daemon.
+
+#ifndef POLLENRUDDER_CALLERS_CALLER_SESSION_H_
+#define POLLENRUDDER_CALLERS_CALLER_SESSION_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "base/boot_clock.h"
+#include "base/error_kind.h"
+#include "callers/request_handler.h"
+#include "upstreams/byte_stream.h"
+#include "upstreams/http_parser.h"
+
+namespace pollenrudder {
+
+// Reads requests one after the other, passes them to the handler and writes
+// the responses. It keeps reading while a request is handled, to see the caller
+// leave; what is read then is the start of the next request. Used on one
+// thread; held by shared pointer, since handlers may be pending.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual RequestHandler& handler() = 0;
+    // True once responses must end their connections.
+    virtual bool is_closing() const = 0;
+    virtual void OnSessionEnded(CallerSession& session) = 0;
+  };
+
+  CallerSession(std::unique_ptr<ByteStream> stream,
+                const ParseLimits& limits,
+                Owner& owner);
+  ~CallerSession();
+
+  void Start();
+  // Ends the session if it has not made progress for too long.
+  void CheckTimeout(BootTime now);
+  // Ends the session if no request is being received or handled.
+  void CloseIfIdle();
+  void Close();
+
+ private:
+  enum class Phase { kIdle, kReceiving, kHandling, kResponding, kEnded };
+
+  void StartRead();
+  void OnRead(boost::system::error_code error, std::size_t bytes);
+  void Parse();
+  void OnRequest();
+  void Refuse(ErrorKind kind);
+  void Respond(HttpResponse response, bool close);
+  void OnResponseWritten(boost::system::error_code error);
+  void Write(std::string text,
+             std::function<void(boost::system::error_code)> handler);
+  void EnterPhase(Phase phase);
+
+  const std::unique_ptr<ByteStream> stream_;
+  const ParseLimits limits_;
+  Owner& owner_;
+  const HttpRequestParser::BodyLimit body_limit_;
+  boost::beast::flat_buffer buffer_;
+  std::unique_ptr<HttpRequestParser> parser_;
+  // Set while a request is handled.
+  std::shared_ptr<CallerExchange> exchange_;
+  Phase phase_ = Phase::kIdle;
+  // When the session ends if it stays in this phase.
+  BootTime phase_end_;
+  bool reading_ = false;
+  bool head_request_ = false;
+  bool keep_alive_ = true;
+  bool close_after_response_ = false;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_CALLERS_CALLER_SESSION_H_
--- /dev/null
+++ b/packages/callers/error_response.cc
@@ -0,0 +1,33 @@
+// The response to a request that was not answered by an upstream.
+
+#include "callers/error_response.h"
+
+#include <string>
+
+namespace pollenrudder {
+
+HttpResponse CreateErrorResponse(ErrorKind kind, std::string_view request_id) {
+  const ErrorAnswer& answer = AnswerFor(kind);
+  HttpResponse response;
+  response.status = answer.http_status;
+  AppendHeader(response.header_lines, "Content-Type", "application/json");
+  AppendHeader(response.control_lines, "Pollenrudder-Outcome",
+               OutcomeName(answer.outcome));
+  AppendHeader(response.control_lines, "Pollenrudder-Error", answer.name);
+  if (!request_id.empty())
+    AppendHeader(response.control_lines, "Pollenrudder-Request-Id", request_id);
+  response.body = "{\"error\": \"" + std::string(answer.name) +
+                  "\", \"outcome\": \"" +
+                  std::string(OutcomeName(answer.outcome)) + "\"}\n";
+  return response;
+}
+
+void MarkAnswered(HttpResponse& response, std::string_view request_id) {
+  response.control_lines.clear();
+  AppendHeader(response.control_lines, "Pollenrudder-Outcome",
+               OutcomeName(Outcome::kAnswered));
+  if (!request_id.empty())
+    AppendHeader(response.control_lines, "Pollenrudder-Request-Id", request_id);
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/callers/forward_pools.cc
@@ -0,0 +1,173 @@
+// ForwardPools.
+
+#include "callers/forward_pools.h"
+
+#include <algorithm>
+#include <chrono>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+
+#include "upstreams/address.h"
+
+namespace pollenrudder {
+namespace {
+
+using End = HttpClientConnection::End;
+
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+
+}  // namespace
+
+// The connections to one instance and the requests that wait for one.
+class ForwardPools::Peer final : public ConnectionPool::Listener {
+ public:
+  Peer(boost::asio::io_context& io, const std::string& address)
+      : io_(io),
+        pool_(
+            [&io] {
+              return CreatePlainStream(boost::asio::ip::tcp::socket(io));
+            },
+            EndpointOf(address),
+            kMaxConnections,
+            ParseLimits{},
+            *this) {}
+
+  ~Peer() override {
+    for (const auto& [number, connection] : sent_)
+      pool_.Discard(connection);
+  }
+  Peer(const Peer&) = delete;
+  Peer& operator=(const Peer&) = delete;
+
+  void Send(std::uint64_t number,
+            std::string request,
+            bool head_request,
+            Handler handler) {
+    if (waiting_.size() >= kMaxWaiting) {
+      boost::asio::post(io_, [handler = std::move(handler)] {
+        handler({End::kNotWritten, {}});
+      });
+      return;
+    }
+    waiting_.push_back(
+        {number, std::move(request), head_request, std::move(handler)});
+    Pump();
+  }
+
+  void Cancel(std::uint64_t number) {
+    if (const auto found = sent_.find(number); found != sent_.end()) {
+      const auto connection = std::move(found->second);
+      sent_.erase(found);
+      pool_.Discard(connection);
+      Pump();
+      return;
+    }
+    std::erase_if(waiting_, [number](const Waiting& waiting) {
+      return waiting.number == number;
+    });
+  }
+
+  void ExpireOpening(BootTime now) {
+    pool_.ExpireOpening(now, kConnectTimeout);
+  }
+
+  // ConnectionPool::Listener:
+  void OnIdleConnectionEnded(bool /*orderly*/) override {}
+
+ private:
+  struct Waiting {
+    std::uint64_t number = 0;
+    std::string request;
+    bool head_request = false;
+    Handler handler;
+  };
+
+  void Pump() {
+    while (!waiting_.empty()) {
+      ConnectionPool::Connection connection = pool_.Take();
+      if (!connection) {
+        if (pool_.CanOpen() && opening_ < waiting_.size())
+          Open();
+        return;
+      }
+      Waiting waiting = std::move(waiting_.front());
+      waiting_.pop_front();
+      sent_.emplace(waiting.number, connection);
+      connection->Exchange(
+          std::move(waiting.request), waiting.head_request,
+          [this, number = waiting.number, handler = std::move(waiting.handler)](
+              HttpClientConnection::ExchangeResult result) {
+            OnEnded(number, handler, std::move(result));
+          });
+    }
+  }
+
+  void Open() {
+    ++opening_;
+    pool_.Open([this](const ConnectionPool::Connection& connection) {
+      --opening_;
+      if (connection) {
+        pool_.Give(connection);
+        Pump();
+        return;
+      }
+      // The instance can't be reached: nothing that waits would be sent.
+      for (Waiting& waiting : std::exchange(waiting_, {}))
+        waiting.handler({End::kNotWritten, {}});
+    });
+  }
+
+  void OnEnded(std::uint64_t number,
+               const Handler& handler,
+               HttpClientConnection::ExchangeResult result) {
+    const auto found = sent_.find(number);
+    const auto connection = std::move(found->second);
+    sent_.erase(found);
+    if (result.end == End::kAnswered)
+      pool_.Give(connection);
+    else
+      pool_.Discard(connection);
+    handler(std::move(result));
+    Pump();
+  }
+
+  boost::asio::io_context& io_;
+  ConnectionPool pool_;
+  std::deque<Waiting> waiting_;
+  std::unordered_map<std::uint64_t, ConnectionPool::Connection> sent_;
+  std::size_t opening_ = 0;
+};
+
+ForwardPools::ForwardPools(boost::asio::io_context& io) : io_(io) {}
+ForwardPools::~ForwardPools() = default;
+
+ForwardPools::Peer& ForwardPools::PeerOf(const std::string& address) {
+  std::unique_ptr<Peer>& peer = peers_[address];
+  if (!peer)
+    peer = std::make_unique<Peer>(io_, address);
+  return *peer;
+}
+
+std::uint64_t ForwardPools::Send(const std::string& address,
+                                 std::string request,
+                                 bool head_request,
+                                 Handler handler) {
+  const std::uint64_t number = next_number_++;
+  PeerOf(address).Send(number, std::move(request), head_request,
+                       std::move(handler));
+  return number;
+}
+
+void ForwardPools::Cancel(const std::string& address, std::uint64_t number) {
+  PeerOf(address).Cancel(number);
+}
+
+void ForwardPools::ExpireOpening(BootTime now) {
+  for (const auto& [address, peer] : peers_)
+    peer->ExpireOpening(now);
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/callers/ingress.h
@@ -0,0 +1,75 @@
+// The ingress of one caller thread.
+
+#ifndef POLLENRUDDER_CALLERS_INGRESS_H_
+#define POLLENRUDDER_CALLERS_INGRESS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string_view>
+#include <unordered_set>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "callers/forward_pools.h"
+#include "callers/ingress_context.h"
+#include "callers/ingress_view.h"
+#include "callers/request_handler.h"
+
+namespace pollenrudder {
+
+class IngressRequest;
+
+// Takes the requests of callers, finds the upstream and its leader and sends
+// them there, again if they were not run. Each request is an IngressRequest,
+// which uses the parts that are public here. Used on one thread.
+class Ingress final : public RequestHandler {
+ public:
+  // The path at which callers get request ids.
+  static constexpr std::string_view kRequestIdsPath =
+      "/pollenrudder/request-ids";
+
+  // `context` and `io` must outlive the object.
+  Ingress(const IngressContext& context, boost::asio::io_context& io);
+  ~Ingress() override;
+
+  // RequestHandler:
+  std::uint64_t BodyLimit(const HttpRequest& request) override;
+  void Handle(std::shared_ptr<CallerExchange> exchange) override;
+
+  // While a request is watched, its CheckTime() is called every few
+  // milliseconds.
+  void Watch(const std::shared_ptr<IngressRequest>& request);
+  void Unwatch(const std::shared_ptr<IngressRequest>& request);
+
+  // Returns a random delay in (0, longest].
+  std::chrono::nanoseconds Jitter(std::chrono::nanoseconds longest);
+
+  const IngressContext& context() const { return context_; }
+  boost::asio::io_context& io() { return io_; }
+  IngressView& view() { return view_; }
+  ForwardPools& forward_pools() { return forward_pools_; }
+  Counter& region_bytes() { return region_bytes_; }
+  Counter& forwarded() { return forwarded_; }
+
+ private:
+  void ScheduleTick();
+  void OnTick();
+
+  const IngressContext& context_;
+  boost::asio::io_context& io_;
+  IngressView view_;
+  ForwardPools forward_pools_;
+  boost::asio::steady_timer tick_;
+  bool tick_scheduled_ = false;
+  std::unordered_set<std::shared_ptr<IngressRequest>> watched_;
+  std::mt19937_64 random_;
+  Counter& region_bytes_;
+  Counter& forwarded_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_CALLERS_INGRESS_H_
--- /dev/null
+++ b/packages/callers/ingress_attempt.cc
@@ -0,0 +1,304 @@
+// IngressRequest: attempts, their results and retries.
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "base/event_log.h"
+#include "callers/callers_events.h"
+#include "callers/error_response.h"
+#include "callers/forwarded_request.h"
+#include "callers/ingress_request.h"
+#include "callers/issued_ids_response.h"
+
+namespace pollenrudder {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A leader answers by the deadline; an answer that is later than this was lost
+// with the leader.
+constexpr milliseconds kForwardGrace{50};
+// Delays before a request that was not run is sent again: uniform in (0, min(
+// first << attempts, longest)]. The longest is short against the time a shard
+// takes to move, so that a waiting request adds little to it.
+constexpr milliseconds kFirstDelay{5};
+constexpr milliseconds kLongestDelay{100};
+constexpr std::uint32_t kMaxDoublings = 5;
+
+// Returns whether a later attempt can end better.
+bool IsWorthRetrying(ErrorKind error) {
+  switch (error) {
+    case ErrorKind::kNotRunNoOwner:
+    case ErrorKind::kNotRunMoved:
+    case ErrorKind::kNotRunNoLease:
+    case ErrorKind::kNotRunUnreachable:
+    case ErrorKind::kNotRunShuttingDown:
+    case ErrorKind::kNotRunFenced:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+void IngressRequest::Attempt() {
+  ingress_.view().Refresh();
+  ingress_.Unwatch(shared_from_this());
+  const RoutedService* const service =
+      ingress_.view().table()->FindService(service_);
+  if (!service) {
+    OnError(ErrorKind::kUnknownService);
+    return;
+  }
+  ++attempts_;
+  chosen_ = false;
+  const RoutedUpstream* const upstream = ChooseUpstream(*service);
+  if (!upstream || upstream->leader.empty()) {
+    chosen_ = false;
+    OnResult(ErrorKind::kNotRunNoOwner, {});
+    return;
+  }
+  upstream_ = upstream->name;
+  attempt_started_ = BootClock::now();
+  EventLog::WriteLazily(kRequestRouted, [&] {
+    return std::vector<LogField>{
+        {"service", service_},
+        {"shard", shard_ ? std::to_string(*shard_) : "-"},
+        {"upstream", upstream_},
+        {"epoch", EpochOf(*service, *upstream)},
+        {"leader", upstream->leader},
+        {"table", ingress_.view().table()->offset},
+        {"attempt", attempts_}};
+  });
+  if (chosen_)
+    service_state_->chooser.OnSent(upstream_, attempt_started_);
+  if (upstream->leader == ingress_.context().instance)
+    SendLocally(*service, *upstream);
+  else
+    Forward(*upstream);
+}
+
+const RoutedUpstream* IngressRequest::ChooseUpstream(
+    const RoutedService& service) {
+  if (request_id_)
+    return ingress_.view().FindUpstream(request_id_->upstream);
+  const RoutingTable& table = *ingress_.view().table();
+  if (shard_) {
+    const std::uint32_t owner = *shard_ < service.shard_owners.size()
+                                    ? service.shard_owners[*shard_]
+                                    : RoutedService::kNoUpstream;
+    return owner == RoutedService::kNoUpstream ? nullptr
+                                               : &table.upstreams[owner];
+  }
+  const std::string* const name =
+      service_state_->chooser.Choose(BootClock::now(), tried_);
+  if (!name)
+    return nullptr;
+  chosen_ = true;
+  return ingress_.view().FindUpstream(*name);
+}
+
+LogOffset IngressRequest::EpochOf(const RoutedService& service,
+                                  const RoutedUpstream& upstream) const {
+  if (!shard_ || *shard_ >= service.shard_offsets.size())
+    return upstream.leader_since;
+  return std::max(service.shard_offsets[*shard_], upstream.leader_since);
+}
+
+void IngressRequest::SendLocally(const RoutedService& service,
+                                 const RoutedUpstream& upstream) {
+  state_ = State::kLocal;
+  UpstreamSender& sender = ingress_.context().sender;
+  if (issue_ > 0) {
+    sender.Issue(upstream_, shard_, issue_,
+                 [self = shared_from_this(), attempt = attempts_,
+                  &io = ingress_.io()](IssuedIds ids) {
+                   boost::asio::post(io, [self, attempt, ids = std::move(ids)] {
+                     self->OnLocalIds(attempt, ids);
+                   });
+                 });
+    return;
+  }
+  UpstreamRequest request;
+  request.service = service_;
+  request.upstream = upstream_;
+  request.shard = shard_;
+  request.epoch = EpochOf(service, upstream);
+  request.request_id = request_id_text_;
+  request.flow = Flow();
+  request.deadline = deadline_;
+  request.http =
+      std::shared_ptr<const HttpRequest>(exchange_, &exchange_->request);
+  ticket_ = sender.Submit(
+      std::move(request), [self = shared_from_this(), attempt = attempts_,
+                           &io = ingress_.io()](UpstreamAnswer answer) {
+        boost::asio::post(
+            io, [self, attempt, answer = std::move(answer)]() mutable {
+              self->OnLocalAnswer(attempt, std::move(answer));
+            });
+      });
+}
+
+void IngressRequest::OnLocalAnswer(std::uint32_t attempt,
+                                   UpstreamAnswer answer) {
+  if (state_ != State::kLocal || attempt != attempts_)
+    return;
+  answered_id_ = std::move(answer.request_id);
+  OnResult(answer.error, std::move(answer.response));
+}
+
+void IngressRequest::OnLocalIds(std::uint32_t attempt, const IssuedIds& ids) {
+  if (state_ != State::kLocal || attempt != attempts_)
+    return;
+  OnResult(ids.error, CreateIssuedIdsResponse(ids.ids));
+}
+
+void IngressRequest::Forward(const RoutedUpstream& upstream) {
+  state_ = State::kForwarded;
+  far_ = ingress_.view().IsLeaderFar(upstream);
+  ingress_.forwarded().Add();
+  ForwardedRequest forwarded;
+  forwarded.service = service_;
+  forwarded.shard = shard_.value_or(0);
+  forwarded.epoch =
+      EpochOf(*ingress_.view().table()->FindService(service_), upstream);
+  forwarded.upstream = upstream_;
+  forwarded.deadline = std::max(
+      std::chrono::duration_cast<milliseconds>(deadline_ - attempt_started_),
+      milliseconds(0));
+  forwarded.request_id = request_id_text_;
+  forwarded.flow = Flow();
+  forwarded.issue = issue_;
+  std::string text = FormatRequest(http(), forwarded.ToControlLines());
+  if (far_)
+    ingress_.region_bytes().Add(text.size());
+  forward_address_ = upstream.leader_address;
+  forward_number_ = ingress_.forward_pools().Send(
+      forward_address_, std::move(text), http().method == "HEAD",
+      [self = shared_from_this()](HttpClientConnection::ExchangeResult result) {
+        self->OnForwardEnded(std::move(result));
+      });
+  ingress_.Watch(shared_from_this());
+}
+
+void IngressRequest::OnForwardEnded(
+    HttpClientConnection::ExchangeResult result) {
+  if (state_ != State::kForwarded)
+    return;
+  switch (result.end) {
+    case HttpClientConnection::End::kAnswered:
+      OnForwardAnswer(std::move(result.response));
+      return;
+    case HttpClientConnection::End::kNotWritten:
+      OnResult(ErrorKind::kNotRunUnreachable, {});
+      return;
+    case HttpClientConnection::End::kLost:
+      OnResult(ErrorKind::kUnknownUpstreamLost, {});
+      return;
+    case HttpClientConnection::End::kDamaged:
+      OnResult(ErrorKind::kUnknownAnswerDamaged, {});
+      return;
+  }
+}
+
+void IngressRequest::OnForwardAnswer(HttpResponse response) {
+  if (far_) {
+    ingress_.region_bytes().Add(response.header_lines.size() +
+                                response.control_lines.size() +
+                                response.body.size());
+  }
+  const std::string_view lines = response.control_lines;
+  answered_id_ = FindHeader(lines, "Pollenrudder-Request-Id").value_or("");
+  if (FindHeader(lines, "Pollenrudder-Outcome") ==
+      OutcomeName(Outcome::kAnswered)) {
+    OnResult(std::nullopt, std::move(response));
+    return;
+  }
+  // An answer without a known outcome is not from this protocol.
+  const auto kind =
+      ErrorKindFromName(FindHeader(lines, "Pollenrudder-Error").value_or(""));
+  OnResult(kind.value_or(ErrorKind::kUnknownAnswerDamaged), {});
+}
+
+void IngressRequest::OnResult(std::optional<ErrorKind> error,
+                              HttpResponse response) {
+  if (chosen_)
+    RecordResult(error);
+  if (!error) {
+    MarkAnswered(response, answered_id_);
+    Respond(std::move(response), Outcome::kAnswered);
+    return;
+  }
+  const BootTime now = BootClock::now();
+  const auto delay = RetryDelay(*error, now);
+  if (!delay) {
+    OnError(*error);
+    return;
+  }
+  service_state_->retries.Add();
+  EventLog::WriteLazily(kRequestRetried, [&] {
+    return std::vector<LogField>{{"service", service_},
+                                 {"upstream", upstream_},
+                                 {"error", AnswerFor(*error).name},
+                                 {"attempt", attempts_}};
+  });
+  if (chosen_)
+    tried_.push_back(upstream_);
+  last_error_ = *error;
+  state_ = State::kWaiting;
+  retry_at_ = now + *delay;
+  ingress_.Watch(shared_from_this());
+}
+
+void IngressRequest::RecordResult(std::optional<ErrorKind> error) {
+  const BootTime now = BootClock::now();
+  SendEnd end = SendEnd::kAnswered;
+  if (error) {
+    end = AnswerFor(*error).outcome == Outcome::kNotRun &&
+                  *error != ErrorKind::kNotRunUnreachable
+              ? SendEnd::kRefused
+              : SendEnd::kFailed;
+  }
+  service_state_->chooser.OnFinished(upstream_, end, now - attempt_started_,
+                                     now);
+}
+
+std::optional<std::chrono::nanoseconds> IngressRequest::RetryDelay(
+    ErrorKind error,
+    BootTime now) {
+  // Another upstream may have room; more attempts would only add load.
+  const bool other_upstream = error == ErrorKind::kNotRunOverloaded && chosen_;
+  const bool unknown = AnswerFor(error).outcome == Outcome::kUnknown &&
+                       repeatable_ && !request_id_ &&
+                       error != ErrorKind::kUnknownDeadline;
+  if (other_upstream || unknown)
+    return service_state_->budget.TakeRetry(++budget_retries_, now, deadline_);
+  if (!IsWorthRetrying(error))
+    return std::nullopt;
+  const auto longest = std::min<milliseconds>(
+      kFirstDelay * (1u << std::min(attempts_, kMaxDoublings)), kLongestDelay);
+  const std::chrono::nanoseconds delay = ingress_.Jitter(longest);
+  if (now + delay >= deadline_)
+    return std::nullopt;
+  return delay;
+}
+
+void IngressRequest::CheckTime(BootTime now) {
+  const auto self = shared_from_this();
+  if (state_ == State::kWaiting && now >= retry_at_) {
+    Attempt();
+    return;
+  }
+  if (state_ == State::kForwarded && now >= deadline_ + kForwardGrace) {
+    CancelAttempt();
+    chosen_ = false;
+    state_ = State::kWaiting;
+    OnError(ErrorKind::kUnknownDeadline);
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/callers/ingress_request.cc
@@ -0,0 +1,206 @@
+// IngressRequest: reading the request and ending it. The attempts are in
+// ingress_attempt.cc.
+
+#include "callers/ingress_request.h"
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+
+#include "base/event_log.h"
+#include "callers/callers_events.h"
+#include "callers/error_response.h"
+#include "callers/key_extractor.h"
+#include "routing/shard_of.h"
+
+namespace pollenrudder {
+namespace {
+
+constexpr std::uint64_t kMaxIssuedIds = 1000;
+
+std::optional<std::string> HeaderOrQuery(const HttpRequest& request,
+                                         std::string_view header,
+                                         std::string_view parameter) {
+  if (const auto value = FindHeader(request.control_lines, header))
+    return std::string(*value);
+  return FindQueryParameter(request.target, parameter);
+}
+
+}  // namespace
+
+IngressRequest::IngressRequest(Ingress& ingress,
+                               std::shared_ptr<CallerExchange> exchange)
+    : ingress_(ingress),
+      exchange_(std::move(exchange)),
+      started_(BootClock::now()) {}
+
+IngressRequest::~IngressRequest() {
+  if (team_slot_)
+    team_slot_->fetch_sub(1);
+}
+
+void IngressRequest::Start() {
+  ingress_.view().Refresh();
+  const bool issue = PathOf(http().target) == Ingress::kRequestIdsPath;
+  auto error = issue ? FindIssueService() : FindService();
+  if (!error)
+    error = ReadDeadline();
+  if (!error && !issue)
+    error = ReadRequestId();
+  if (!error)
+    error = TakeTeamSlot();
+  if (error) {
+    OnError(*error);
+    return;
+  }
+  exchange_->set_on_cancel([weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->OnCancelled();
+  });
+  service_state_->budget.RecordRequest(started_);
+  Attempt();
+}
+
+std::optional<ErrorKind> IngressRequest::FindService() {
+  const RoutingTable* const table = ingress_.view().table();
+  if (!table)
+    return ErrorKind::kNotRunNoOwner;
+  const std::string_view path = PathOf(http().target);
+  if (HasDotSegments(path))
+    return ErrorKind::kMalformedRequest;
+  const RoutedService* const service = table->FindServiceByPath(path);
+  if (!service)
+    return ErrorKind::kUnknownService;
+  service_ = service->settings.name;
+  service_state_ = &ingress_.view().ServiceOf(service_);
+  repeatable_ = service->settings.IsRepeatable(http().method);
+  if (service->settings.divided_by_key) {
+    const auto key = ExtractKey(service->settings, http());
+    if (!key)
+      return ErrorKind::kMissingKey;
+    shard_ = ShardOf(*key, service->settings.shards);
+  }
+  return std::nullopt;
+}
+
+std::optional<ErrorKind> IngressRequest::FindIssueService() {
+  const RoutingTable* const table = ingress_.view().table();
+  if (!table)
+    return ErrorKind::kNotRunNoOwner;
+  if (http().method != "POST")
+    return ErrorKind::kMalformedRequest;
+  const auto name = HeaderOrQuery(http(), "Pollenrudder-Service", "service");
+  const RoutedService* const service =
+      name ? table->FindService(*name) : nullptr;
+  if (!service)
+    return ErrorKind::kUnknownService;
+  service_ = *name;
+  service_state_ = &ingress_.view().ServiceOf(service_);
+  repeatable_ = true;
+  if (service->settings.divided_by_key) {
+    const auto key = HeaderOrQuery(http(), "Pollenrudder-Key", "key");
+    if (!key || key->empty())
+      return ErrorKind::kMissingKey;
+    shard_ = ShardOf(*key, service->settings.shards);
+  }
+  const auto count = HeaderOrQuery(http(), "Pollenrudder-Count", "count");
+  const auto number = count ? ParseNumber(*count) : 1;
+  if (!number || *number == 0 || *number > kMaxIssuedIds)
+    return ErrorKind::kMalformedRequest;
+  issue_ = static_cast<std::uint32_t>(*number);
+  return std::nullopt;
+}
+
+std::optional<ErrorKind> IngressRequest::ReadDeadline() {
+  const RoutedService* const service =
+      ingress_.view().table()->FindService(service_);
+  auto left = service->settings.deadline;
+  if (const auto text =
+          FindHeader(http().control_lines, "Pollenrudder-Deadline")) {
+    const auto milliseconds = ParseNumber(*text);
+    if (!milliseconds)
+      return ErrorKind::kMalformedRequest;
+    const auto longest = static_cast<std::uint64_t>(left.count());
+    left = std::chrono::milliseconds(std::min(*milliseconds, longest));
+  }
+  deadline_ = started_ + left;
+  return std::nullopt;
+}
+
+std::optional<ErrorKind> IngressRequest::ReadRequestId() {
+  const auto text = FindHeader(http().control_lines, "Pollenrudder-Request-Id");
+  if (!text)
+    return std::nullopt;
+  auto id = RequestId::Parse(*text);
+  if (!id || id.value().service != service_ ||
+      id.value().shard != shard_.value_or(0))
+    return ErrorKind::kInvalidRequestId;
+  request_id_text_ = *text;
+  request_id_ = std::move(id.value());
+  return std::nullopt;
+}
+
+std::optional<ErrorKind> IngressRequest::TakeTeamSlot() {
+  const RoutedService* const service =
+      ingress_.view().table()->FindService(service_);
+  const auto& in_flight = service_state_->team_in_flight;
+  if (in_flight->fetch_add(1) >= service->team_max_in_flight) {
+    in_flight->fetch_sub(1);
+    return ErrorKind::kNotRunOverloaded;
+  }
+  team_slot_ = in_flight;
+  return std::nullopt;
+}
+
+std::uint64_t IngressRequest::Flow() const {
+  return std::hash<std::string>()(service_) ^
+         std::hash<std::string>()(
+             exchange_->remote_endpoint.address().to_string());
+}
+
+void IngressRequest::OnError(ErrorKind error) {
+  EventLog::WriteLazily(kRequestFailed, [&] {
+    return std::vector<LogField>{{"service", service_},
+                                 {"upstream", upstream_},
+                                 {"error", AnswerFor(error).name},
+                                 {"attempts", attempts_}};
+  });
+  const std::string& id =
+      request_id_text_.empty() ? answered_id_ : request_id_text_;
+  Respond(CreateErrorResponse(error, id), AnswerFor(error).outcome);
+}
+
+void IngressRequest::OnCancelled() {
+  if (state_ == State::kEnded)
+    return;
+  CancelAttempt();
+  End();
+}
+
+void IngressRequest::CancelAttempt() {
+  if (state_ == State::kLocal && issue_ == 0)
+    ingress_.context().sender.Cancel(ticket_, upstream_);
+  if (state_ == State::kForwarded)
+    ingress_.forward_pools().Cancel(forward_address_, forward_number_);
+  if (chosen_ && (state_ == State::kLocal || state_ == State::kForwarded)) {
+    const BootTime now = BootClock::now();
+    service_state_->chooser.OnFinished(upstream_, SendEnd::kCancelled,
+                                       now - attempt_started_, now);
+  }
+}
+
+void IngressRequest::Respond(HttpResponse response, Outcome outcome) {
+  if (service_state_)
+    service_state_->CountEnd(outcome, BootClock::now() - started_);
+  End();
+  exchange_->Respond(std::move(response));
+}
+
+void IngressRequest::End() {
+  state_ = State::kEnded;
+  ingress_.Unwatch(shared_from_this());
+  if (const auto slot = std::exchange(team_slot_, nullptr))
+    slot->fetch_sub(1);
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/callers/ingress_service.h
@@ -0,0 +1,50 @@
+// What one ingress thread keeps about a service.
+
+#ifndef POLLENRUDDER_CALLERS_INGRESS_SERVICE_H_
+#define POLLENRUDDER_CALLERS_INGRESS_SERVICE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "base/error_kind.h"
+#include "base/metrics.h"
+#include "callers/ingress_context.h"
+#include "routing/retry_budget.h"
+#include "routing/routing_table.h"
+#include "routing/two_choices.h"
+
+namespace pollenrudder {
+
+// Kept over changes of the table, so that observations are not lost. Used on
+// one thread. Related: IngressView.
+class IngressService {
+ public:
+  IngressService(const IngressContext& context,
+                 const std::string& name,
+                 std::uint64_t seed);
+
+  // Takes over the settings and upstreams of `service`.
+  void Update(const IngressContext& context,
+              const RoutingTable& table,
+              const RoutedService& service);
+
+  // Counts the end of a request.
+  void CountEnd(Outcome outcome, std::chrono::nanoseconds duration);
+
+  const std::string name;
+  TwoChoices chooser;
+  RetryBudget budget;
+  TeamLimits::InFlight team_in_flight;
+  Counter& retries;
+
+ private:
+  Counter& answered_;
+  Counter& not_run_;
+  Counter& unknown_;
+  DurationSummary& duration_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_CALLERS_INGRESS_SERVICE_H_
--- /dev/null
+++ b/packages/callers/issued_ids_response.h
@@ -0,0 +1,18 @@
+// The response to a request for request ids.
+
+#ifndef POLLENRUDDER_CALLERS_ISSUED_IDS_RESPONSE_H_
+#define POLLENRUDDER_CALLERS_ISSUED_IDS_RESPONSE_H_
+
+#include <string>
+#include <vector>
+
+#include "upstreams/http_message.h"
+
+namespace pollenrudder {
+
+// Builds the response {"request_ids": ["...", ...]}.
+HttpResponse CreateIssuedIdsResponse(const std::vector<std::string>& ids);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_CALLERS_ISSUED_IDS_RESPONSE_H_
--- /dev/null
+++ b/packages/callers/key_extractor.h
@@ -0,0 +1,34 @@
+// The parts of a request that routing reads.
+
+#ifndef POLLENRUDDER_CALLERS_KEY_EXTRACTOR_H_
+#define POLLENRUDDER_CALLERS_KEY_EXTRACTOR_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "document/service_settings.h"
+#include "upstreams/http_message.h"
+
+namespace pollenrudder {
+
+// Returns the path of a target, without the query.
+std::string_view PathOf(std::string_view target);
+
+// Returns whether a path has "." or ".." segments, plain or percent-encoded.
+// An upstream could resolve them to a path of another service or key.
+bool HasDotSegments(std::string_view path);
+
+// Returns the decoded value of a query parameter, or nothing.
+std::optional<std::string> FindQueryParameter(std::string_view target,
+                                              std::string_view name);
+
+// Returns the key of a request to a service that is divided by key, or nothing
+// if it is missing, empty or wrongly encoded. Keys in the target are decoded,
+// so that all spellings of a key are one key.
+std::optional<std::string> ExtractKey(const ServiceSettings& service,
+                                      const HttpRequest& request);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_CALLERS_KEY_EXTRACTOR_H_
--- a/packages/upstreams/upstream_leader.cc
+++ b/packages/upstreams/upstream_leader.cc
@@ -160,7 +160,7 @@
     Refuse(ticket, ErrorKind::kNotRunUnreachable);
     return;
   }
-  const HttpRequest& http = item.request.http;
+  const HttpRequest& http = *item.request.http;
   item.fingerprint = RequestFingerprint(item.request.service, http.method,
                                         http.target, http.body);
   const Quarantine::Mark mark =
@@ -298,11 +298,11 @@
   item.sent_id = item.request.request_id.empty()
                      ? context_.id_prefix + std::to_string(ticket)
                      : item.request.request_id;
-  std::string text = FormatRequest(item.request.http, ControlLines(item, now));
+  std::string text = FormatRequest(*item.request.http, ControlLines(item, now));
   if (upstream_->region != context_.region)
     region_bytes_.Add(text.size());
   connection->Exchange(
-      std::move(text), item.request.http.method == "HEAD",
+      std::move(text), item.request.http->method == "HEAD",
       [this, ticket](HttpClientConnection::ExchangeResult result) {
         OnExchangeEnded(ticket, std::move(result));
       });
--- a/packages/upstreams/upstream_request.h
+++ b/packages/upstreams/upstream_request.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,7 +31,8 @@
   // Groups requests that share the slots in turn.
   std::uint64_t flow = 0;
   BootTime deadline;
-  HttpRequest http;
+  // Shared with the ingress, which may send it again.
+  std::shared_ptr<const HttpRequest> http;
 };
 
 // How a request ended: with the answer of the upstream, or an error.
