Add the lease, promise, claim and voter rules

Leadership needs rules that are safe under pauses, cuts, lost answers and clock rates that differ by 1%.

Ruled out: a promise per term. A promise is kept per upstream, so it stays good over a revise and an instance that promised cannot claim the revised term early. Ruled out: far voters that claim as early as zone peers. Their claim waits for the hold, so an upstream whose zone peers could replace the leader within 2 s would be unserved for the hold; they claim after max(2 s, H / 10). Ruled out: claims while the log is down. They stay unresolved and would cost the leader the promises that keep its lease.

Before: no rules.

--- /dev/null
+++ b/packages/ownership/claim_tracker.cc
@@ -0,0 +1,153 @@
+// The rules for sending and resolving claims.
+
+#include "ownership/claim_tracker.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+#include "ownership/rendezvous_score.h"
+
+namespace pollenrudder {
+
+ClaimTracker::ClaimTracker(std::string instance,
+                           std::string zone,
+                           const LeaseDurations& durations)
+    : instance_(std::move(instance)),
+      zone_(std::move(zone)),
+      durations_(durations) {}
+
+std::chrono::nanoseconds ClaimTracker::RequiredWait(
+    const TermState& replaced,
+    TermKind kind,
+    const std::string& zone,
+    const LeaseDurations& durations) {
+  std::chrono::nanoseconds lease = durations.log_lease;
+  if (kind == TermKind::kDeclaredLost) {
+    lease = std::max(lease, durations.promise);
+  } else if (zone != replaced.leader_zone) {
+    lease = std::max(lease, replaced.isolation_hold);
+  }
+  std::chrono::nanoseconds wait = durations.Lengthened(lease);
+  // The replaced leader may still be waiting for the lease of an earlier one,
+  // which a declaration about the replaced leader does not end.
+  if (!replaced.active)
+    wait = std::max(wait, replaced.wait);
+  return wait;
+}
+
+bool ClaimTracker::IsVoter(const TermState& current) const {
+  return std::any_of(
+      current.voters.begin(), current.voters.end(),
+      [this](const Voter& voter) { return voter.instance == instance_; });
+}
+
+void ClaimTracker::OnLogRead(BootTime proof_time, BootTime now) {
+  if (!last_proof_ || *last_proof_ < proof_time)
+    last_proof_ = proof_time;
+  if (!readable_since_)
+    readable_since_ = now;
+}
+
+void ClaimTracker::OnLogReadFailed() {
+  readable_since_.reset();
+}
+
+void ClaimTracker::OnTermRead(const TermState& current, BootTime now) {
+  term_read_at_[current.upstream] = now;
+  // The term that the claim replaces is current no more, so the claim is
+  // ignored wherever it appears.
+  const auto claim = claims_.find(current.upstream);
+  if (claim != claims_.end() && claim->second.previous < current.term)
+    claims_.erase(claim);
+}
+
+std::optional<BootTime> ClaimTracker::ClaimTime(const View& view) const {
+  const TermState& current = view.current;
+  if (!IsVoter(current) || unresolved(current.upstream) || !readable_since_)
+    return std::nullopt;
+  const auto read_at = term_read_at_.find(current.upstream);
+  if (read_at == term_read_at_.end())
+    return std::nullopt;
+  // The leader of a new term needs the time of a promise to ask for the first.
+  BootTime silent_since =
+      read_at->second + durations_.Lengthened(durations_.promise);
+  if (view.own_promise_end)
+    silent_since = std::max(silent_since, *view.own_promise_end);
+  return std::max(silent_since, *readable_since_) + OrderDelay(current);
+}
+
+bool ClaimTracker::MayClaim(const View& view, BootTime now) const {
+  const std::optional<BootTime> time = ClaimTime(view);
+  return time && *time <= now && ReadRecently(now);
+}
+
+bool ClaimTracker::WantsLogRead(const View& view, BootTime now) const {
+  const std::optional<BootTime> time = ClaimTime(view);
+  return time && *time <= now && !ReadRecently(now);
+}
+
+void ClaimTracker::ClaimSent(const std::string& upstream,
+                             LogOffset previous,
+                             const std::string& record_id,
+                             BootTime now) {
+  assert(!unresolved(upstream));
+  claims_[upstream] = Claim{previous, record_id, now};
+}
+
+void ClaimTracker::ClaimRead(const std::string& record_id) {
+  Resolve(record_id);
+}
+
+void ClaimTracker::AbandonRead(const std::string& record_id) {
+  Resolve(record_id);
+}
+
+std::optional<std::string> ClaimTracker::TakeAbandonDue(
+    const std::string& upstream,
+    BootTime now) {
+  const auto claim = claims_.find(upstream);
+  if (claim == claims_.end() || now < claim->second.last_sent + kAbandonAfter)
+    return std::nullopt;
+  claim->second.last_sent = now;
+  return claim->second.record_id;
+}
+
+bool ClaimTracker::unresolved(const std::string& upstream) const {
+  return claims_.contains(upstream);
+}
+
+void ClaimTracker::Forget(const std::string& upstream) {
+  claims_.erase(upstream);
+  term_read_at_.erase(upstream);
+}
+
+bool ClaimTracker::ReadRecently(BootTime now) const {
+  return last_proof_ && now - *last_proof_ < durations_.log_lease;
+}
+
+void ClaimTracker::Resolve(const std::string& record_id) {
+  std::erase_if(claims_, [&](const auto& entry) {
+    return entry.second.record_id == record_id;
+  });
+}
+
+std::chrono::nanoseconds ClaimTracker::OrderDelay(
+    const TermState& current) const {
+  std::vector<std::string> group;
+  for (const Voter& voter : current.voters) {
+    if ((voter.zone == current.leader_zone) == (zone_ == current.leader_zone))
+      group.push_back(voter.instance);
+  }
+  const std::size_t rank = RendezvousRank(current.upstream, instance_, group);
+  std::chrono::nanoseconds delay = kRankDelay * rank;
+  if (zone_ != current.leader_zone) {
+    delay += std::max<std::chrono::nanoseconds>(
+        kMinFarDelay, current.isolation_hold / kFarDelayDivisor);
+  }
+  return delay;
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/ownership/leader_lease.cc
@@ -0,0 +1,180 @@
+// The proofs that extend a leader's lease.
+
+#include "ownership/leader_lease.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pollenrudder {
+namespace {
+
+bool IsClaim(TermKind kind) {
+  return kind == TermKind::kClaim || kind == TermKind::kDeclaredLost;
+}
+
+}  // namespace
+
+LeaderLease::LeaderLease(TermState term,
+                         const LeaseDurations& durations,
+                         BootTime read_at,
+                         std::optional<BootTime> own_promise_end)
+    : term_(std::move(term)), durations_(durations), active_from_(read_at) {
+  if (!IsClaim(term_.kind))
+    return;
+  active_from_ = read_at + term_.wait;
+  if (own_promise_end)
+    active_from_ = std::max(active_from_, *own_promise_end);
+}
+
+void LeaderLease::OnLogRead(BootTime proof_time,
+                            bool reached_end,
+                            LogOffset current_term) {
+  if (current_term != term_.term) {
+    End();
+    return;
+  }
+  if (!reached_end)
+    return;
+  if (!log_proof_ || *log_proof_ < proof_time)
+    log_proof_ = proof_time;
+}
+
+void LeaderLease::OnPromise(const std::string& voter,
+                            BootTime asked_at,
+                            const std::vector<PromisedTerm>& granted) {
+  const bool counts = std::any_of(
+      granted.begin(), granted.end(), [this](const PromisedTerm& promised) {
+        return promised.upstream == term_.upstream &&
+               (promised.term == term_.term ||
+                (revise_ && promised.term == kNoOffset));
+      });
+  if (!counts)
+    return;
+  const auto [entry, added] = promises_.try_emplace(voter, asked_at);
+  if (!added)
+    entry->second = std::max(entry->second, asked_at);
+}
+
+void LeaderLease::BeginRevise(std::vector<Voter> voters,
+                              std::chrono::nanoseconds isolation_hold) {
+  assert(!revise_ && !handing_over_);
+  revise_ = PendingRevise{std::move(voters), isolation_hold};
+}
+
+void LeaderLease::FinishRevise(TermState term) {
+  assert(term.leader == term_.leader);
+  term_ = std::move(term);
+  revise_.reset();
+}
+
+void LeaderLease::AbandonRevise() {
+  revise_.reset();
+}
+
+void LeaderLease::BeginHandover() {
+  handing_over_ = true;
+}
+
+void LeaderLease::AbandonHandover() {
+  handing_over_ = false;
+}
+
+void LeaderLease::End() {
+  ended_ = true;
+}
+
+BootTime LeaderLease::ValidUntil() const {
+  if (ended_ || handing_over_)
+    return BootTime::min();
+  BootTime end = BootTime::min();
+
+  if (log_proof_)
+    end = *log_proof_ + durations_.log_lease;
+
+  const std::optional<BootTime> near = OldestPromise(true);
+  const std::optional<BootTime> far = OldestPromise(false);
+  const bool near_complete = near || !HasVoter(true);
+  const bool far_complete = far || !HasVoter(false);
+  const BootTime near_end = near ? *near + durations_.promise : BootTime::max();
+  const BootTime far_end = far ? *far + durations_.promise : BootTime::max();
+
+  if ((near || far) && near_complete && far_complete)
+    end = std::max(end, std::min(near_end, far_end));
+
+  // Only a voter of another zone can claim without the promise of a zone peer,
+  // and it waits for the hold after its claim is on the log.
+  const std::optional<BootTime> last_contact = std::max(log_proof_, far);
+  if (near_complete && last_contact) {
+    end = std::max(end, std::min(near_end, *last_contact + IsolationHold()));
+  }
+  return end;
+}
+
+bool LeaderLease::active(BootTime now) const {
+  return now >= active_from_ && now < ValidUntil();
+}
+
+std::vector<Voter> LeaderLease::NeededVoters() const {
+  std::vector<Voter> voters = term_.voters;
+  if (!revise_)
+    return voters;
+  for (const Voter& voter : revise_->voters) {
+    const bool known = std::any_of(
+        voters.begin(), voters.end(),
+        [&](const Voter& other) { return other.instance == voter.instance; });
+    if (!known)
+      voters.push_back(voter);
+  }
+  return voters;
+}
+
+std::vector<PromisedTerm> LeaderLease::TermsToPromise() const {
+  std::vector<PromisedTerm> terms = {{term_.upstream, term_.term}};
+  if (revise_)
+    terms.push_back({term_.upstream, kNoOffset});
+  return terms;
+}
+
+bool LeaderLease::HasAllPromises(BootTime now) const {
+  const std::vector<Voter> voters = NeededVoters();
+  return !voters.empty() && SilentVoters(now - durations_.promise).empty();
+}
+
+std::vector<std::string> LeaderLease::SilentVoters(BootTime limit) const {
+  std::vector<std::string> silent;
+  for (const Voter& voter : NeededVoters()) {
+    const auto promise = promises_.find(voter.instance);
+    if (promise == promises_.end() || promise->second < limit)
+      silent.push_back(voter.instance);
+  }
+  return silent;
+}
+
+std::chrono::nanoseconds LeaderLease::IsolationHold() const {
+  if (!revise_)
+    return term_.isolation_hold;
+  return std::min(term_.isolation_hold, revise_->isolation_hold);
+}
+
+std::optional<BootTime> LeaderLease::OldestPromise(bool zone_peers) const {
+  std::optional<BootTime> oldest;
+  for (const Voter& voter : NeededVoters()) {
+    if ((voter.zone == term_.leader_zone) != zone_peers)
+      continue;
+    const auto promise = promises_.find(voter.instance);
+    if (promise == promises_.end())
+      return std::nullopt;
+    oldest = oldest ? std::min(*oldest, promise->second) : promise->second;
+  }
+  return oldest;
+}
+
+bool LeaderLease::HasVoter(bool zone_peers) const {
+  const std::vector<Voter> voters = NeededVoters();
+  return std::any_of(voters.begin(), voters.end(), [&](const Voter& voter) {
+    return (voter.zone == term_.leader_zone) == zone_peers;
+  });
+}
+
+}  // namespace pollenrudder
