Replay the log and lead upstreams in Controller

The daemon needs one state machine that decides on ownership. Records get a codec, OwnershipTable replays them by the preconditions of the design, and Controller keeps leases, votes, claims and places shards. Callbacks per record were ruled out: each part compares its own state with the table after a read, so a checkpoint or a lost answer needs no path of its own.

Before: headers only. After: a zone of three instances gets leaders and shard owners, and a voter takes over from a lost leader within 2 s in simulated time. Moves, handovers, leave, checkpoints and status are not there yet.

--- /dev/null
+++ b/packages/ownership/claimant.cc
@@ -0,0 +1,285 @@
+// Promises, first terms, claims and abandons.
+
+#include "ownership/claimant.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "ownership/ownership_events.h"
+#include "ownership/rendezvous_score.h"
+#include "ownership/term_rules.h"
+
+namespace pollenrudder {
+
+Claimant::Claimant(ControlContext& context)
+    : context_(context),
+      promises_(context.durations),
+      claims_(context.options.instance,
+              context.options.zone,
+              context.durations) {}
+
+void Claimant::OnTableChanged() {
+  const auto& terms = context_.table().state().terms;
+  for (const auto& [upstream, term] : terms) {
+    LogOffset& seen = seen_terms_[upstream];
+    if (seen == term.term)
+      continue;
+    seen = term.term;
+    claims_.OnTermRead(term, context_.now.boot);
+    context_.Decide(kTermRead, {{"upstream", upstream},
+                                {"term", term.term},
+                                {"kind", TermKindName(term.kind)},
+                                {"leader", term.leader}});
+  }
+  std::erase_if(seen_terms_, [&](const auto& entry) {
+    if (terms.contains(entry.first))
+      return false;
+    claims_.Forget(entry.first);
+    promises_.Forget(entry.first);
+    return true;
+  });
+  std::erase_if(first_records_, [&](const auto& entry) {
+    return !context_.appender.pending(entry.second);
+  });
+}
+
+void Claimant::OnOwnRecord(const LogRecord& record) {
+  claims_.ClaimRead(record.id);
+  if (const auto* abandon = std::get_if<AbandonRecord>(&record.body)) {
+    claims_.AbandonRead(abandon->record);
+    abandons_.erase(abandon->record);
+  }
+}
+
+void Claimant::OnLogProof(BootTime proof_time) {
+  claims_.OnLogRead(proof_time, context_.now.boot);
+}
+
+void Claimant::OnLogReadFailed() {
+  claims_.OnLogReadFailed();
+}
+
+void Claimant::OnPromiseRequested(const PromiseRequested& request) {
+  AnswerPromise answer;
+  answer.call_id = request.call_id;
+  answer.applied_offset = context_.table().applied();
+  for (const PromisedTerm& term : request.terms) {
+    if (!MayPromise(request.leader, term)) {
+      context_.Decide(kPromiseRefused, {{"upstream", term.upstream},
+                                        {"term", term.term},
+                                        {"leader", request.leader}});
+      continue;
+    }
+    promises_.Grant(term.upstream, request.duration, context_.now.boot);
+    answer.granted.push_back(term);
+  }
+  context_.Act(std::move(answer));
+}
+
+void Claimant::OnTick(const LeaseKeeper& leases) {
+  AbandonClaims();
+  if (!context_.MayChange() || context_.GivesUpLeadership())
+    return;
+  ProposeFirstTerms(leases);
+  Claim(leases);
+  ClaimDeclaredLost(leases);
+}
+
+std::optional<BootTime> Claimant::OwnPromiseEnd(
+    const std::string& upstream) const {
+  return promises_.RunsOutAt(upstream);
+}
+
+void Claimant::ProposeFirstTerms(const LeaseKeeper& leases) {
+  std::vector<std::string> candidates = {context_.self()};
+  for (const ListedInstance& entry :
+       context_.directory.LiveEntries(context_.options.zone)) {
+    if (entry.name != context_.self())
+      candidates.push_back(entry.name);
+  }
+  Candidacies candidacies;
+  TermRecord record;
+  for (const ListedInstance& listed : context_.directory.instances()) {
+    if (listed.kind != ListedInstance::Kind::kUpstream || listed.leaving ||
+        listed.zone != context_.options.zone ||
+        context_.table().FindTerm(listed.name) ||
+        first_records_.contains(listed.name) ||
+        !context_.document().FindService(listed.service)) {
+      continue;
+    }
+    const auto since = first_candidacies_.find(listed.name);
+    candidacies[listed.name] =
+        since == first_candidacies_.end() ? context_.now.boot : since->second;
+    if (IsTurn(candidacies, listed.name, candidates, kFirstTermDelay))
+      record.entries.push_back(FirstEntry(listed, leases));
+  }
+  first_candidacies_ = std::move(candidacies);
+  if (record.entries.empty() || !context_.ReadyToAppend())
+    return;
+  std::vector<std::string> upstreams;
+  for (const TermEntry& entry : record.entries) {
+    upstreams.push_back(entry.upstream);
+    context_.Decide(kFirstTermSent,
+                    {{"upstream", entry.upstream}, {"service", entry.service}});
+  }
+  const std::string id = context_.Append(std::move(record));
+  for (const std::string& upstream : upstreams)
+    first_records_[upstream] = id;
+}
+
+void Claimant::Claim(const LeaseKeeper& leases) {
+  TermRecord record;
+  for (const auto& [upstream, term] : context_.table().state().terms) {
+    if (term.leader == context_.self())
+      continue;
+    const ClaimTracker::View view{term, promises_.RunsOutAt(upstream)};
+    if (claims_.WantsLogRead(view, context_.now.boot))
+      context_.read_wanted = true;
+    if (claims_.MayClaim(view, context_.now.boot))
+      record.entries.push_back(ClaimEntry(term, TermKind::kClaim, leases));
+  }
+  SendClaims(std::move(record));
+}
+
+void Claimant::ClaimDeclaredLost(const LeaseKeeper& leases) {
+  Candidacies candidacies;
+  TermRecord record;
+  for (const auto& [upstream, term] : context_.table().state().terms) {
+    if (!MayClaimDeclaredLost(context_.document(), term, context_.self()) ||
+        IsDeclaredLost(context_.document(), term.service, context_.self(),
+                       context_.options.zone) ||
+        claims_.unresolved(upstream)) {
+      continue;
+    }
+    const auto since = lost_candidacies_.find(upstream);
+    candidacies[upstream] =
+        since == lost_candidacies_.end() ? context_.now.boot : since->second;
+    std::vector<std::string> candidates = {context_.self()};
+    for (const ListedInstance& entry : context_.directory.instances()) {
+      if (entry.kind == ListedInstance::Kind::kEntry && !entry.leaving &&
+          entry.name != context_.self() &&
+          !IsDeclaredLost(context_.document(), term.service, entry.name,
+                          entry.zone)) {
+        candidates.push_back(entry.name);
+      }
+    }
+    // Over an own term nobody else is a candidate.
+    if (term.leader == context_.self())
+      candidates = {context_.self()};
+    if (!IsTurn(candidacies, upstream, candidates, kDeclaredLostDelay))
+      continue;
+    const TermEntry entry = ClaimEntry(term, TermKind::kDeclaredLost, leases);
+    const bool shortens =
+        term.leader != context_.self() || entry.wait < term.wait;
+    if (shortens && context_.ReadyToAppend())
+      record.entries.push_back(entry);
+  }
+  lost_candidacies_ = std::move(candidacies);
+  SendClaims(std::move(record));
+}
+
+void Claimant::AbandonClaims() {
+  if (!context_.MayChange())
+    return;
+  std::set<std::string> due;
+  for (const auto& [upstream, seen] : seen_terms_) {
+    if (!claims_.unresolved(upstream))
+      continue;
+    context_.read_wanted = true;
+    const std::optional<std::string> claim =
+        claims_.TakeAbandonDue(upstream, context_.now.boot);
+    if (claim && !abandons_.contains(*claim))
+      due.insert(*claim);
+  }
+  for (const std::string& claim : due) {
+    context_.appender.Withdraw(claim);
+    abandons_[claim] = context_.Append(AbandonRecord{claim});
+    context_.Decide(kAbandonSent, {{"record", claim}});
+  }
+}
+
+bool Claimant::MayPromise(const std::string& leader,
+                          const PromisedTerm& term) const {
+  PromiseBook::View view;
+  view.current = context_.table().FindTerm(term.upstream);
+  view.claim_unresolved = claims_.unresolved(term.upstream);
+  if (view.current) {
+    const ListedInstance* listed = context_.directory.FindEntry(leader);
+    std::string zone = listed ? listed->zone : std::string();
+    if (view.current->leader == leader)
+      zone = view.current->leader_zone;
+    view.leader_declared_lost = IsDeclaredLost(
+        context_.document(), view.current->service, leader, zone);
+  }
+  return PromiseBook::MayPromise(leader, term, view);
+}
+
+bool Claimant::IsTurn(Candidacies& candidacies,
+                      const std::string& upstream,
+                      const std::vector<std::string>& candidates,
+                      std::chrono::nanoseconds delay) {
+  const std::size_t rank =
+      RendezvousRank(upstream, context_.self(), candidates);
+  return context_.now.boot >=
+         candidacies.at(upstream) + delay * static_cast<std::int64_t>(rank);
+}
+
+TermEntry Claimant::FirstEntry(const ListedInstance& upstream,
+                               const LeaseKeeper& leases) const {
+  TermEntry entry;
+  entry.upstream = upstream.name;
+  entry.service = upstream.service;
+  entry.zone = upstream.zone;
+  entry.region = upstream.region;
+  entry.address = upstream.address;
+  entry.kind = TermKind::kFirst;
+  TakeOver(entry);
+  entry.voters = leases.ChooseVoters(context_.self(), context_.options.zone,
+                                     context_.options.region, {}, {});
+  entry.isolation_hold =
+      leases.IsolationHold(upstream.service, std::chrono::nanoseconds(0));
+  return entry;
+}
+
+TermEntry Claimant::ClaimEntry(const TermState& current,
+                               TermKind kind,
+                               const LeaseKeeper& leases) const {
+  TermEntry entry = EntryFromTerm(current, kind);
+  TakeOver(entry);
+  entry.voters = leases.ChooseVoters(context_.self(), context_.options.zone,
+                                     context_.options.region, current.voters,
+                                     {current.leader});
+  entry.isolation_hold =
+      leases.IsolationHold(current.service, current.isolation_hold);
+  entry.wait = RequiredWait(context_.durations, context_.document(), current,
+                            context_.self(), context_.options.zone, kind);
+  return entry;
+}
+
+void Claimant::TakeOver(TermEntry& entry) const {
+  entry.leader = context_.self();
+  entry.leader_zone = context_.options.zone;
+  entry.leader_forward_address = context_.options.forward_address;
+  entry.leader_peer_address = context_.options.peer_address;
+}
+
+void Claimant::SendClaims(TermRecord record) {
+  if (record.entries.empty())
+    return;
+  const std::vector<TermEntry> entries = record.entries;
+  const std::string id = context_.Append(std::move(record));
+  for (const TermEntry& entry : entries) {
+    claims_.ClaimSent(entry.upstream, entry.previous, id, context_.now.boot);
+    context_.Decide(
+        kClaimSent,
+        {{"upstream", entry.upstream},
+         {"term", entry.previous},
+         {"kind", TermKindName(entry.kind)},
+         {"wait_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(entry.wait)
+              .count()}});
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/ownership/claimant.h
@@ -0,0 +1,88 @@
+// Claimant: how this instance votes and takes terms.
+
+#ifndef POLLENRUDDER_OWNERSHIP_CLAIMANT_H_
+#define POLLENRUDDER_OWNERSHIP_CLAIMANT_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "ownership/claim_tracker.h"
+#include "ownership/control_context.h"
+#include "ownership/controller_input.h"
+#include "ownership/lease_keeper.h"
+#include "ownership/promise_book.h"
+
+namespace pollenrudder {
+
+// Answers promise requests, proposes the first term of upstreams in its zone,
+// claims upstreams whose leader is silent or declared lost, and abandons claims
+// whose answer is lost.
+//
+// Related classes: PromiseBook and ClaimTracker have the rules, LeaseKeeper
+// takes over once the own term is read.
+class Claimant {
+ public:
+  // Candidates of a first term propose it one after another at this interval,
+  // which an append and its read normally fit in.
+  static constexpr std::chrono::milliseconds kFirstTermDelay{500};
+  // Candidates of a declared_lost claim follow each other at this interval.
+  static constexpr std::chrono::milliseconds kDeclaredLostDelay{300};
+
+  explicit Claimant(ControlContext& context);
+
+  // After records were applied.
+  void OnTableChanged();
+  // A record of this instance was read.
+  void OnOwnRecord(const LogRecord& record);
+  void OnLogProof(BootTime proof_time);
+  void OnLogReadFailed();
+  void OnPromiseRequested(const PromiseRequested& request);
+  void OnTick(const LeaseKeeper& leases);
+
+  // When the last promise for the upstream runs out.
+  std::optional<BootTime> OwnPromiseEnd(const std::string& upstream) const;
+
+ private:
+  // An upstream for which this instance is a candidate, and since when.
+  using Candidacies = std::map<std::string, BootTime>;
+
+  void ProposeFirstTerms(const LeaseKeeper& leases);
+  void Claim(const LeaseKeeper& leases);
+  void ClaimDeclaredLost(const LeaseKeeper& leases);
+  void AbandonClaims();
+  bool MayPromise(const std::string& leader, const PromisedTerm& term) const;
+
+  // Whether this candidate's turn has come: `delay` for each candidate that
+  // ranks higher.
+  bool IsTurn(Candidacies& candidacies,
+              const std::string& upstream,
+              const std::vector<std::string>& candidates,
+              std::chrono::nanoseconds delay);
+  TermEntry FirstEntry(const ListedInstance& upstream,
+                       const LeaseKeeper& leases) const;
+  TermEntry ClaimEntry(const TermState& current,
+                       TermKind kind,
+                       const LeaseKeeper& leases) const;
+  void TakeOver(TermEntry& entry) const;
+  void SendClaims(TermRecord record);
+
+  ControlContext& context_;
+  PromiseBook promises_;
+  ClaimTracker claims_;
+  // By upstream: the term that was last passed to `claims_`.
+  std::map<std::string, LogOffset> seen_terms_;
+  Candidacies first_candidacies_;
+  Candidacies lost_candidacies_;
+  // By upstream: the record that proposes the first term.
+  std::map<std::string, std::string> first_records_;
+  // By claim: the own `abandon` record that is not read yet.
+  std::map<std::string, std::string> abandons_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OWNERSHIP_CLAIMANT_H_
--- /dev/null
+++ b/packages/ownership/control_context.h
@@ -0,0 +1,92 @@
+// ControlContext: what the parts of Controller share.
+
+#ifndef POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
+#define POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "base/log_event.h"
+#include "base/log_field.h"
+#include "ownership/controller_action.h"
+#include "ownership/controller_options.h"
+#include "ownership/instance_directory.h"
+#include "ownership/lease_durations.h"
+#include "ownership/log_replay.h"
+#include "ownership/record_appender.h"
+#include "ownership/stop_schedule.h"
+
+namespace pollenrudder {
+
+// Lives as long as the Controller. Each part reads it, appends records through
+// it and adds its actions to it.
+struct ControlContext {
+  explicit ControlContext(ControllerOptions controller_options)
+      : options(std::move(controller_options)),
+        durations(LeaseDurations::FromOptions(options)),
+        replay(durations),
+        appender(options.instance) {}
+
+  const ControllerOptions options;
+  const LeaseDurations durations;
+  LogReplay replay;
+  InstanceDirectory directory;
+  StopSchedule stops;
+  RecordAppender appender;
+
+  // The moment of the input that is handled.
+  Now now{};
+  std::vector<ControllerAction> actions;
+  // The newest proof time of a read that completed the table.
+  std::optional<BootTime> last_proof;
+  bool leaving = false;
+  // Set by a part that waits for a read of the log.
+  bool read_wanted = false;
+
+  const OwnershipTable& table() const { return replay.table(); }
+  const Document& document() const { return replay.table().document(); }
+  const std::string& self() const { return options.instance; }
+
+  void Act(ControllerAction action) { actions.push_back(std::move(action)); }
+
+  void Decide(const LogEvent& event, std::vector<LogField> fields) {
+    actions.emplace_back(LogDecision{event, std::move(fields)});
+  }
+
+  std::string Append(LogRecordBody body) {
+    return appender.Append(std::move(body), now.boot, actions);
+  }
+
+  // Whether this version may write records to this log at all.
+  bool MayChange() const {
+    return !replay.changes_stopped() && !replay.seeking_checkpoint();
+  }
+
+  // Whether the log was read a moment ago, so that a record is likely to be
+  // appended and to meet its precondition. If not, the log is read at once.
+  bool ReadyToAppend() {
+    if (!MayChange())
+      return false;
+    if (ReadWithin(options.log_lease))
+      return true;
+    read_wanted = true;
+    return false;
+  }
+
+  bool ReadWithin(std::chrono::nanoseconds age) const {
+    return last_proof && now.boot - *last_proof < age;
+  }
+
+  // Whether this instance takes no new leadership and gives its own up.
+  bool GivesUpLeadership() const {
+    return leaving || StopSchedule::IsInstanceStopping(
+                          document(), directory, options.instance, now.wall);
+  }
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
--- a/packages/ownership/controller_action.h
+++ b/packages/ownership/controller_action.h
@@ -55,8 +55,10 @@
 };
 
 // Accept no new request for these shards (all of the upstream if `whole`), wait
-// until none is in flight, then answer DrainFinished. On a lost upstream the
-// wait ends once run_before has passed since the last send.
+// until none is in flight, then answer DrainFinished with the same shards. On a
+// lost upstream the wait ends once run_before has passed since the last send.
+// A drained shard stays closed until a routing table gives it a newer epoch, or
+// until ResumeShards; a longer lease alone doesn't open it.
 struct DrainShards {
   std::string upstream;
   std::vector<std::uint32_t> shards;
@@ -64,6 +66,14 @@
   bool upstream_lost = false;
 };
 
+// Accept requests for drained shards again: the move or handover was given up.
+// A drain that is not finished yet ends without DrainFinished.
+struct ResumeShards {
+  std::string upstream;
+  std::vector<std::uint32_t> shards;
+  bool whole = false;
+};
+
 // Make this table the one that all threads use.
 struct PublishRoutingTable {
   RoutingTablePointer table;
@@ -104,6 +114,7 @@
                                       ReadLogNow,
                                       SetLease,
                                       DrainShards,
+                                      ResumeShards,
                                       PublishRoutingTable,
                                       MarkFingerprints,
                                       SendLoadReport,
--- /dev/null
+++ b/packages/ownership/controller_fixture_test.h
@@ -0,0 +1,179 @@
+// ControllerFixture: several Controllers with a fake log, network and clock.
+
+#ifndef POLLENRUDDER_OWNERSHIP_CONTROLLER_FIXTURE_TEST_H_
+#define POLLENRUDDER_OWNERSHIP_CONTROLLER_FIXTURE_TEST_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "ownership/controller.h"
+#include "ownership/log_record.h"
+#include "ownership/ownership_table.h"
+
+namespace pollenrudder {
+
+// Runs Controllers in simulated time. Messages take a fixed time, the log can
+// be down, lose answers or be cut off per instance, and pairs of instances can
+// be cut off from each other. Every step checks that no upstream and no shard
+// has two senders; violations() collects what was seen.
+//
+//   ControllerFixture fixture;
+//   fixture.AddInstance("a1", "a");
+//   fixture.AddUpstream("u1", "geodata", "a");
+//   fixture.Publish("ground", kSection);
+//   fixture.Run(3s);
+//   REQUIRE(fixture.Sender("u1") == "a1.1");
+class ControllerFixture {
+ public:
+  static constexpr std::chrono::milliseconds kStep{5};
+  static constexpr std::chrono::milliseconds kOneWay{2};
+
+  ControllerFixture();
+  ~ControllerFixture();
+
+  // Starts "<name>.1" and lists it; returns its full name. `clock_rate` is the
+  // speed of its clock.
+  std::string AddInstance(const std::string& name,
+                          const std::string& zone,
+                          double clock_rate = 1.0,
+                          const std::string& region = "r");
+  void AddUpstream(const std::string& name,
+                   const std::string& service,
+                   const std::string& zone,
+                   const std::string& region = "r");
+  void RemoveUpstream(const std::string& name);
+  void SetLeaving(const std::string& name, bool leaving);
+
+  // Appends a section over the one in force, or over `previous`.
+  LogOffset Publish(const std::string& team, const std::string& text);
+  LogOffset Publish(const std::string& team,
+                    const std::string& text,
+                    LogOffset previous);
+  LogOffset AppendRaw(const std::string& data);
+
+  void Run(std::chrono::nanoseconds duration);
+  // Runs until the condition holds; false if it doesn't within `limit`.
+  bool RunUntil(const std::function<bool()>& condition,
+                std::chrono::nanoseconds limit);
+  void Input(const std::string& instance, const ControllerInput& input);
+
+  // Ends an instance; the list drops it after `list_lag`.
+  void Kill(const std::string& instance,
+            std::chrono::nanoseconds list_lag = std::chrono::seconds(5));
+  // A paused instance handles nothing, but its leases count until they end.
+  void Pause(const std::string& instance);
+  void Resume(const std::string& instance);
+  void SetLogDown(bool down) { log_down_ = down; }
+  // Cuts the instance off from the log.
+  void CutLog(const std::string& instance, bool cut);
+  // Cuts the messages between two instances, both ways.
+  void CutPeers(const std::string& one, const std::string& other, bool cut);
+  // The next `count` appends of the instance take effect, but are not answered.
+  void LoseAppendAnswers(const std::string& instance, int count);
+  // The next `count` appends of the instance are lost on their way.
+  void LoseAppends(const std::string& instance, int count);
+  // Drops the oldest records, as the retention of the log does.
+  void DropRecordsBefore(LogOffset offset);
+  // While set, drains of the upstream don't finish.
+  void BlockDrains(const std::string& upstream, bool blocked);
+  void Observe(const std::string& upstream,
+               UpstreamObserved::State state,
+               std::vector<std::uint64_t> fingerprints = {});
+
+  // The instance that may send to the upstream now, or "".
+  std::string Sender(const std::string& upstream) const;
+  // Whether requests for the shard are served now.
+  bool IsServed(const std::string& service, std::uint32_t shard) const;
+  // Whether every shard of the service is served.
+  bool AllServed(const std::string& service) const;
+
+  // The log as an ideal reader sees it.
+  OwnershipTable Table() const;
+  const std::vector<std::string>& log() const { return log_; }
+  // Records of the log of one type, decoded.
+  template <typename Body>
+  std::vector<Body> Records() const {
+    std::vector<Body> records;
+    for (const std::string& data : log_) {
+      const Result<LogRecord> record = DecodeLogRecord(data);
+      if (!record)
+        continue;
+      if (const Body* body = std::get_if<Body>(&record.value().body))
+        records.push_back(*body);
+    }
+    return records;
+  }
+  Controller& controller(const std::string& instance);
+  RoutingTablePointer routing(const std::string& instance) const;
+  // Actions of an instance of one type, oldest first.
+  template <typename Action>
+  std::vector<Action> Actions(const std::string& instance) const {
+    std::vector<Action> found;
+    for (const ControllerAction& action : history_.at(instance)) {
+      if (const Action* wanted = std::get_if<Action>(&action))
+        found.push_back(*wanted);
+    }
+    return found;
+  }
+  std::vector<std::string> EventNames(const std::string& instance) const;
+  const std::vector<std::string>& violations() const { return violations_; }
+  std::chrono::nanoseconds elapsed() const { return elapsed_; }
+  Now TimeOf(const std::string& instance) const;
+
+ private:
+  struct Instance;
+  struct Drain;
+
+  void Step();
+  void At(std::chrono::nanoseconds delay, std::function<void()> work);
+  void Handle(const std::string& name, const ControllerInput& input);
+  void Carry(const std::string& name, const ControllerAction& action);
+  void SendAppend(const std::string& name, const AppendRecord& append);
+  void SendPromise(const std::string& name, const SendPromiseRequest& request);
+  void SendRead(const std::string& name, LogOffset from, bool wait);
+  void AnswerRead(const std::string& name,
+                  LogOffset from,
+                  BootTime proof_time,
+                  std::chrono::nanoseconds deadline,
+                  bool wait);
+  void FailRead(const std::string& name, bool wait);
+  void ListInstances();
+  bool CanReachLog(const std::string& instance) const;
+  bool ArePeersCut(const std::string& one, const std::string& other) const;
+  bool MaySend(const Instance& instance, const std::string& upstream) const;
+  bool IsShardOpen(const Instance& instance,
+                   const RoutingTable& table,
+                   const RoutedService& service,
+                   std::uint32_t shard) const;
+  void CheckSafety();
+
+  std::chrono::nanoseconds elapsed_{0};
+  std::multimap<std::chrono::nanoseconds, std::function<void()>> queue_;
+  std::map<std::string, std::unique_ptr<Instance>> instances_;
+  std::map<std::string, std::vector<ControllerAction>> history_;
+  std::vector<ListedInstance> listed_;
+  std::vector<std::string> log_;
+  LogOffset first_retained_ = 1;
+  bool log_down_ = false;
+  std::set<std::pair<std::string, std::string>> peer_cuts_;
+  std::set<std::string> blocked_drains_;
+  std::uint64_t next_call_ = 1;
+  std::map<std::uint64_t, std::function<void(const AnswerPromise&)>> calls_;
+  std::vector<std::string> violations_;
+};
+
+// A section with one service that is divided by key.
+std::string ShardedSection(const std::string& team,
+                           const std::string& service,
+                           std::uint32_t shards,
+                           const std::string& more = {});
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OWNERSHIP_CONTROLLER_FIXTURE_TEST_H_
--- a/packages/ownership/controller_input.h
+++ b/packages/ownership/controller_input.h
@@ -96,10 +96,12 @@
 };
 
 // The answer to DrainShards: no request of these shards is in flight, and none
-// will start until the next SetLease or routing table says so.
+// starts until they are open again. `shards` and `whole` are those of the
+// DrainShards action.
 struct DrainFinished {
   std::string upstream;
   std::vector<std::uint32_t> shards;
+  bool whole = false;
 };
 
 // Load of one upstream in a report interval.
--- /dev/null
+++ b/packages/ownership/instance_directory.cc
@@ -0,0 +1,86 @@
+// The instance list and its history.
+
+#include "ownership/instance_directory.h"
+
+#include <utility>
+
+namespace pollenrudder {
+namespace {
+
+using Kind = ListedInstance::Kind;
+
+// Names of ended instances are forgotten, since each start brings a new one.
+constexpr std::chrono::hours kForgetMissing{1};
+
+const ListedInstance* Find(const std::vector<ListedInstance>& instances,
+                           Kind kind,
+                           std::string_view name) {
+  for (const ListedInstance& instance : instances) {
+    if (instance.kind == kind && instance.name == name)
+      return &instance;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+void InstanceDirectory::OnListed(std::vector<ListedInstance> instances,
+                                 BootTime now) {
+  instances_ = std::move(instances);
+  if (!listed_at_)
+    listed_at_ = now;
+  std::map<std::string, BootTime, std::less<>> present;
+  for (const ListedInstance& instance : instances_) {
+    const auto before = present_since_.find(instance.name);
+    present[instance.name] =
+        before == present_since_.end() ? now : before->second;
+    missing_since_.erase(instance.name);
+  }
+  for (const auto& [name, since] : present_since_) {
+    if (!present.contains(name))
+      missing_since_[name] = now;
+  }
+  std::erase_if(missing_since_, [now](const auto& entry) {
+    return now - entry.second > kForgetMissing;
+  });
+  present_since_ = std::move(present);
+}
+
+const ListedInstance* InstanceDirectory::FindEntry(
+    std::string_view name) const {
+  return Find(instances_, Kind::kEntry, name);
+}
+
+const ListedInstance* InstanceDirectory::FindUpstream(
+    std::string_view name) const {
+  return Find(instances_, Kind::kUpstream, name);
+}
+
+std::vector<ListedInstance> InstanceDirectory::LiveEntries(
+    std::string_view zone) const {
+  std::vector<ListedInstance> entries;
+  for (const ListedInstance& instance : instances_) {
+    if (instance.kind == Kind::kEntry && instance.zone == zone &&
+        !instance.leaving) {
+      entries.push_back(instance);
+    }
+  }
+  return entries;
+}
+
+std::chrono::nanoseconds InstanceDirectory::ListedFor(std::string_view name,
+                                                      BootTime now) const {
+  const auto since = present_since_.find(name);
+  return since == present_since_.end() ? std::chrono::nanoseconds(0)
+                                       : now - since->second;
+}
+
+std::chrono::nanoseconds InstanceDirectory::MissingFor(std::string_view name,
+                                                       BootTime now) const {
+  if (!listed_at_ || present_since_.contains(name))
+    return std::chrono::nanoseconds(0);
+  const auto since = missing_since_.find(name);
+  return now - (since == missing_since_.end() ? *listed_at_ : since->second);
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/ownership/lease_keeper.cc
@@ -0,0 +1,283 @@
+// Leases, heartbeats and revisions of the led terms.
+
+#include "ownership/lease_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ownership/ownership_events.h"
+#include "ownership/voter_selection.h"
+
+namespace pollenrudder {
+namespace {
+
+bool SameVoters(const std::vector<Voter>& left,
+                const std::vector<Voter>& right) {
+  return std::is_permutation(left.begin(), left.end(), right.begin(),
+                             right.end());
+}
+
+std::string JoinVoters(const std::vector<Voter>& voters) {
+  std::string names;
+  for (const Voter& voter : voters) {
+    if (!names.empty())
+      names += ",";
+    names += voter.instance;
+  }
+  return names;
+}
+
+}  // namespace
+
+TermEntry EntryFromTerm(const TermState& term, TermKind kind) {
+  TermEntry entry;
+  entry.upstream = term.upstream;
+  entry.service = term.service;
+  entry.zone = term.zone;
+  entry.region = term.region;
+  entry.address = term.address;
+  entry.previous = term.term;
+  entry.kind = kind;
+  entry.leader = term.leader;
+  entry.leader_zone = term.leader_zone;
+  entry.leader_forward_address = term.leader_forward_address;
+  entry.leader_peer_address = term.leader_peer_address;
+  entry.voters = term.voters;
+  entry.isolation_hold = term.isolation_hold;
+  return entry;
+}
+
+LeaseKeeper::LeaseKeeper(ControlContext& context, OwnPromiseEnd own_promise_end)
+    : context_(context), own_promise_end_(std::move(own_promise_end)) {}
+
+void LeaseKeeper::OnTableChanged() {
+  const auto& terms = context_.table().state().terms;
+  for (auto led = led_.begin(); led != led_.end();) {
+    const auto term = terms.find(led->first);
+    const TermState& own = led->second.lease.term();
+    const bool ended = term == terms.end() ||
+                       term->second.leader_since != own.leader_since ||
+                       term->second.leader != context_.self();
+    if (!ended) {
+      UpdateLease(led->second, term->second);
+      ++led;
+      continue;
+    }
+    context_.Act(SetLease{led->first, own.leader_since, BootTime{}});
+    context_.Decide(kLeadershipEnded,
+                    {{"upstream", led->first}, {"term", own.term}});
+    led = led_.erase(led);
+  }
+  for (const auto& [upstream, term] : terms) {
+    if (term.leader == context_.self() && !led_.contains(upstream))
+      StartLease(term);
+  }
+}
+
+void LeaseKeeper::OnLogRead(BootTime proof_time, bool reached_end) {
+  for (auto& [upstream, led] : led_)
+    led.lease.OnLogRead(proof_time, reached_end, led.lease.term().term);
+}
+
+void LeaseKeeper::OnPromise(const PromiseAnswered& answer) {
+  if (!answer.answered)
+    return;
+  for (auto& [upstream, led] : led_)
+    led.lease.OnPromise(answer.voter, answer.asked_at, answer.granted);
+}
+
+void LeaseKeeper::OnTick() {
+  const BootTime now = context_.now.boot;
+  if (!last_heartbeat_ ||
+      now >= *last_heartbeat_ + context_.options.heartbeat) {
+    last_heartbeat_ = now;
+    SendHeartbeats();
+  }
+  ReviseVoters();
+  for (auto& [upstream, led] : led_) {
+    LogTransition(led);
+    RecordActive(led);
+  }
+}
+
+void LeaseKeeper::PublishLeases() {
+  for (auto& [upstream, led] : led_) {
+    if (context_.now.boot < led.lease.active_from())
+      continue;
+    const BootTime end = std::max(led.lease.ValidUntil(), BootTime{});
+    if (led.published == end || (!led.published && end == BootTime{}))
+      continue;
+    led.published = end;
+    context_.Act(SetLease{upstream, led.lease.term().leader_since, end});
+  }
+}
+
+bool LeaseKeeper::IsActive(std::string_view upstream) const {
+  const LeaderLease* lease = Find(upstream);
+  return lease && lease->active(context_.now.boot);
+}
+
+LeaderLease* LeaseKeeper::Find(std::string_view upstream) {
+  const auto led = led_.find(upstream);
+  return led == led_.end() ? nullptr : &led->second.lease;
+}
+
+const LeaderLease* LeaseKeeper::Find(std::string_view upstream) const {
+  const auto led = led_.find(upstream);
+  return led == led_.end() ? nullptr : &led->second.lease;
+}
+
+std::vector<std::string> LeaseKeeper::LedUpstreams() const {
+  std::vector<std::string> upstreams;
+  upstreams.reserve(led_.size());
+  for (const auto& [upstream, led] : led_)
+    upstreams.push_back(upstream);
+  return upstreams;
+}
+
+bool LeaseKeeper::WantsLogRead() const {
+  return std::any_of(led_.begin(), led_.end(), [this](const auto& entry) {
+    return !entry.second.lease.HasAllPromises(context_.now.boot);
+  });
+}
+
+std::vector<Voter> LeaseKeeper::ChooseVoters(
+    const std::string& leader,
+    const std::string& zone,
+    const std::string& region,
+    const std::vector<Voter>& current,
+    std::vector<std::string> silent) const {
+  return SelectVoters({leader, zone, region, context_.directory.instances(),
+                       current, std::move(silent)});
+}
+
+std::chrono::nanoseconds LeaseKeeper::IsolationHold(
+    const std::string& service,
+    std::chrono::nanoseconds otherwise) const {
+  const ServiceSettings* settings = context_.document().FindService(service);
+  return settings ? std::chrono::nanoseconds(settings->isolation_hold)
+                  : otherwise;
+}
+
+void LeaseKeeper::StartLease(const TermState& term) {
+  Led led{LeaderLease(term, context_.durations, context_.now.boot,
+                      own_promise_end_(term.upstream)),
+          context_.now.boot,
+          std::nullopt,
+          false,
+          {},
+          {}};
+  led_.emplace(term.upstream, std::move(led));
+  // The first promises are asked for at once.
+  last_heartbeat_.reset();
+}
+
+void LeaseKeeper::UpdateLease(Led& led, const TermState& term) {
+  if (term.term != led.lease.term().term) {
+    led.lease.FinishRevise(term);
+    led.revise_record.clear();
+    led.voters_since = context_.now.boot;
+    last_heartbeat_.reset();
+    return;
+  }
+  if (led.lease.revising() && !context_.appender.pending(led.revise_record)) {
+    led.lease.AbandonRevise();
+    led.revise_record.clear();
+  }
+}
+
+void LeaseKeeper::RecordActive(Led& led) {
+  const TermState* term = context_.table().FindTerm(led.lease.term().upstream);
+  if (!term || term->active || !led.lease.active(context_.now.boot) ||
+      context_.appender.pending(led.active_record) || !context_.MayChange()) {
+    return;
+  }
+  led.active_record = context_.Append(ActiveRecord{term->upstream, term->term});
+}
+
+void LeaseKeeper::LogTransition(Led& led) {
+  const bool active = led.lease.active(context_.now.boot);
+  if (active == led.was_active)
+    return;
+  led.was_active = active;
+  const TermState& term = led.lease.term();
+  const bool first = !led.published || *led.published == BootTime{};
+  const LogEvent& event = !active ? kLeaseLapsed
+                          : first ? kLeadershipStarted
+                                  : kLeaseRegained;
+  context_.Decide(event, {{"upstream", term.upstream},
+                          {"term", term.term},
+                          {"fence", term.leader_since}});
+}
+
+void LeaseKeeper::SendHeartbeats() {
+  std::map<std::string, SendPromiseRequest> requests;
+  for (const auto& [upstream, led] : led_) {
+    const std::vector<PromisedTerm> terms = led.lease.TermsToPromise();
+    for (const Voter& voter : led.lease.NeededVoters()) {
+      SendPromiseRequest& request = requests[voter.instance];
+      request.voter = voter.instance;
+      request.peer_address = voter.peer_address;
+      request.duration = context_.durations.promise;
+      request.terms.insert(request.terms.end(), terms.begin(), terms.end());
+    }
+  }
+  for (auto& [voter, request] : requests)
+    context_.Act(std::move(request));
+}
+
+void LeaseKeeper::ReviseVoters() {
+  if (!context_.directory.known() || !context_.MayChange())
+    return;
+  TermRecord record;
+  std::vector<Led*> revised;
+  for (auto& [upstream, led] : led_) {
+    std::optional<TermEntry> entry = RevisedEntry(led);
+    if (!entry)
+      continue;
+    if (!context_.ReadyToAppend())
+      return;
+    record.entries.push_back(std::move(*entry));
+    revised.push_back(&led);
+  }
+  if (revised.empty())
+    return;
+  for (std::size_t index = 0; index < revised.size(); ++index) {
+    const TermEntry& entry = record.entries[index];
+    revised[index]->lease.BeginRevise(entry.voters, entry.isolation_hold);
+    context_.Decide(kReviseSent, {{"upstream", entry.upstream},
+                                  {"term", entry.previous},
+                                  {"voters", JoinVoters(entry.voters)}});
+  }
+  const std::string id = context_.Append(std::move(record));
+  for (Led* led : revised)
+    led->revise_record = id;
+}
+
+std::optional<TermEntry> LeaseKeeper::RevisedEntry(const Led& led) const {
+  const BootTime now = context_.now.boot;
+  const LeaderLease& lease = led.lease;
+  if (lease.revising() || lease.handing_over() || !lease.active(now) ||
+      now < led.voters_since + kReviseInterval) {
+    return std::nullopt;
+  }
+  const TermState& term = lease.term();
+  std::vector<Voter> voters = ChooseVoters(
+      context_.self(), context_.options.zone, context_.options.region,
+      term.voters, lease.SilentVoters(now - kSilentVoter));
+  const std::chrono::nanoseconds hold =
+      IsolationHold(term.service, term.isolation_hold);
+  const ListedInstance* listed = context_.directory.FindUpstream(term.upstream);
+  const std::string& address = listed ? listed->address : term.address;
+  if (SameVoters(voters, term.voters) && hold == term.isolation_hold &&
+      address == term.address) {
+    return std::nullopt;
+  }
+  TermEntry entry = EntryFromTerm(term, TermKind::kRevise);
+  entry.address = address;
+  entry.voters = std::move(voters);
+  entry.isolation_hold = hold;
+  return entry;
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/ownership/log_record.h
@@ -0,0 +1,171 @@
+// The records that the system keeps on the platform's log.
+
+#ifndef POLLENRUDDER_OWNERSHIP_LOG_RECORD_H_
+#define POLLENRUDDER_OWNERSHIP_LOG_RECORD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "base/log_offset.h"
+#include "base/result.h"
+#include "ownership/term_state.h"
+
+namespace pollenrudder {
+
+// A team's new section. `previous` is the offset of the section it replaces.
+struct SectionRecord {
+  std::string team;
+  LogOffset previous = kNoOffset;
+  std::string text;
+
+  bool operator==(const SectionRecord&) const = default;
+};
+
+// One term of a `term` record. `previous` is the term it replaces.
+struct TermEntry {
+  std::string upstream;
+  std::string service;
+  std::string zone;
+  std::string region;
+  std::string address;
+  LogOffset previous = kNoOffset;
+  TermKind kind = TermKind::kFirst;
+  std::string leader;
+  std::string leader_zone;
+  std::string leader_forward_address;
+  std::string leader_peer_address;
+  std::vector<Voter> voters;
+  std::chrono::nanoseconds isolation_hold{0};
+  std::chrono::nanoseconds wait{0};
+
+  bool operator==(const TermEntry&) const = default;
+};
+
+struct TermRecord {
+  std::vector<TermEntry> entries;
+
+  bool operator==(const TermRecord&) const = default;
+};
+
+// The leader of `term` has become active.
+struct ActiveRecord {
+  std::string upstream;
+  LogOffset term = kNoOffset;
+
+  bool operator==(const ActiveRecord&) const = default;
+};
+
+// A `term` record with the id `record` is ignored if it appears later.
+struct AbandonRecord {
+  std::string record;
+
+  bool operator==(const AbandonRecord&) const = default;
+};
+
+struct PlacedShard {
+  std::uint32_t shard = 0;
+  std::string upstream;
+
+  bool operator==(const PlacedShard&) const = default;
+};
+
+// Gives owners to shards without one.
+struct PlaceRecord {
+  std::string service;
+  std::vector<PlacedShard> placements;
+
+  bool operator==(const PlaceRecord&) const = default;
+};
+
+// `placed` is the offset of the record that placed the shard so far.
+struct ShardMove {
+  std::uint32_t shard = 0;
+  LogOffset placed = kNoOffset;
+  std::string target;
+
+  bool operator==(const ShardMove&) const = default;
+};
+
+// Moves shards away from `upstream`. Without moves, it only carries suspects
+// of a service that is not divided by key.
+struct MoveRecord {
+  std::string upstream;
+  LogOffset term = kNoOffset;
+  std::string service;
+  std::vector<ShardMove> moves;
+  std::vector<std::uint64_t> suspects;
+  WallTime suspects_until;
+
+  bool operator==(const MoveRecord&) const = default;
+};
+
+struct QuarantineRecord {
+  std::string service;
+  std::uint64_t fingerprint = 0;
+  WallTime until;
+
+  bool operator==(const QuarantineRecord&) const = default;
+};
+
+// Removes an upstream that is gone and owns no shard.
+struct RetireRecord {
+  std::string upstream;
+  LogOffset term = kNoOffset;
+
+  bool operator==(const RetireRecord&) const = default;
+};
+
+// One part of the table as it was after the record at `offset`. The parts of
+// one checkpoint share `checkpoint`.
+struct CheckpointRecord {
+  std::string checkpoint;
+  LogOffset offset = kNoOffset;
+  std::uint32_t part = 0;
+  std::uint32_t parts = 0;
+  std::string table;
+
+  bool operator==(const CheckpointRecord&) const = default;
+};
+
+using LogRecordBody = std::variant<SectionRecord,
+                                   TermRecord,
+                                   ActiveRecord,
+                                   AbandonRecord,
+                                   PlaceRecord,
+                                   MoveRecord,
+                                   QuarantineRecord,
+                                   RetireRecord,
+                                   CheckpointRecord>;
+
+// One record. `id` is unique; a record that is sent again keeps its id.
+struct LogRecord {
+  // The only format this version reads and writes.
+  static constexpr std::int64_t kFormat = 1;
+
+  std::string id;
+  // The instance that wrote the record; for a section, the operator's tool.
+  std::string by;
+  LogRecordBody body;
+
+  bool operator==(const LogRecord&) const = default;
+};
+
+// Returns the JSON text of a record.
+std::string EncodeLogRecord(const LogRecord& record);
+
+// Parses a record. Fails with kUnsupportedRecord if it is of another format or
+// type, which a newer version may have written, and with kPeerProtocol if it is
+// malformed.
+Result<LogRecord> DecodeLogRecord(std::string_view data);
+
+// Returns the name of a kind as records spell it.
+std::string_view TermKindName(TermKind kind);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OWNERSHIP_LOG_RECORD_H_
--- /dev/null
+++ b/packages/ownership/shard_placer.cc
@@ -0,0 +1,67 @@
+// First placement of shards.
+
+#include "ownership/shard_placer.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "ownership/ownership_events.h"
+
+namespace pollenrudder {
+namespace {
+
+bool HasUnplaced(const OwnershipTable& table, const std::string& service) {
+  const ServiceSettings* settings = table.document().FindService(service);
+  if (!settings || !settings->divided_by_key)
+    return false;
+  const std::vector<ShardState>* shards = table.FindShards(service);
+  return !shards || std::any_of(shards->begin(), shards->end(),
+                                [](const ShardState& shard) {
+                                  return !shard.has_owner();
+                                });
+}
+
+}  // namespace
+
+ShardPlacer::ShardPlacer(ControlContext& context, const TargetChooser& targets)
+    : context_(context), targets_(targets) {}
+
+void ShardPlacer::OnTick(const std::string& service) {
+  if (!HasUnplaced(context_.table(), service)) {
+    unplaced_since_.erase(service);
+    records_.erase(service);
+    return;
+  }
+  const auto since =
+      unplaced_since_.try_emplace(service, context_.now.boot).first;
+  const bool wait_over =
+      context_.now.boot >= since->second + kFirstPlacementWait;
+  if ((!wait_over && !IsComplete(service)) ||
+      context_.appender.pending(records_[service]) ||
+      !context_.ReadyToAppend()) {
+    return;
+  }
+  PlaceRecord record;
+  record.service = service;
+  for (auto& [shard, upstream] : targets_.Choose(service, {}))
+    record.placements.push_back({shard, upstream});
+  if (record.placements.empty())
+    return;
+  context_.Decide(kPlacementSent,
+                  {{"service", service}, {"shards", record.placements.size()}});
+  records_[service] = context_.Append(std::move(record));
+}
+
+bool ShardPlacer::IsComplete(const std::string& service) const {
+  for (const ListedInstance& listed : context_.directory.instances()) {
+    if (listed.kind == ListedInstance::Kind::kUpstream &&
+        listed.service == service && !listed.leaving &&
+        !context_.table().FindTerm(listed.name)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace pollenrudder
--- a/packages/ownership/term_state.h
+++ b/packages/ownership/term_state.h
@@ -50,6 +50,10 @@
   // True once an `active` record of this term was read, and from the start for
   // a term without a wait. A revise keeps the value of the term it replaces.
   bool active = false;
+  // The leader whose lease `wait` covers, if its term was active when it was
+  // replaced; otherwise empty.
+  std::string replaced_leader;
+  std::string replaced_leader_zone;
 
   bool operator==(const TermState&) const = default;
 };
