Add control messages between instances

Its client gives every call the same id, so matching by id was ruled out: a connection carries one call at a time and is closed when an answer is late. The library's parser throws on deep nesting, so the depth is bounded before it sees a message.

--- /dev/null
+++ b/packages/peers/json_rpc_codec.cc
@@ -0,0 +1,236 @@
+// The codec over libjsonrpccpp 0.7. Compiled as C++14.
+
+#include "peers/json_rpc_codec.h"
+
+#include <jsonrpccpp/client/client.h>
+#include <jsonrpccpp/client/iclientconnector.h>
+#include <jsonrpccpp/server/abstractserver.h>
+#include <jsonrpccpp/server/abstractserverconnector.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace pollenrudder {
+namespace {
+
+// The parser of the library throws, and its callers end the process, when a
+// text nests deeper than its stack allows; the own messages nest 6 levels.
+constexpr int kMaxDepth = 16;
+
+// Codes of the JSON-RPC specification.
+constexpr int kParseError = -32700;
+constexpr int kServerError = -32000;
+
+bool NestsTooDeep(const std::string& text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t index = 0; index < text.size(); ++index) {
+    const char character = text[index];
+    if (in_string) {
+      if (character == '\\')
+        ++index;
+      else if (character == '"')
+        in_string = false;
+    } else if (character == '"') {
+      in_string = true;
+    } else if (character == '[' || character == '{') {
+      if (++depth > kMaxDepth)
+        return true;
+    } else if (character == ']' || character == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+std::string WriteJson(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+bool ReadJson(const std::string& text, Json::Value& value) {
+  if (NestsTooDeep(text))
+    return false;
+  const Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  std::string errors;
+  return reader->parse(text.data(), text.data() + text.size(), &value, &errors);
+}
+
+void StripLineEnd(std::string& text) {
+  while (!text.empty() && (text.back() == '\n' || text.back() == '\r'))
+    text.pop_back();
+}
+
+std::string ErrorMessage(int code, const char* message) {
+  Json::Value answer;
+  answer["jsonrpc"] = "2.0";
+  answer["id"] = Json::Value::null;
+  answer["error"]["code"] = code;
+  answer["error"]["message"] = message;
+  return WriteJson(answer);
+}
+
+// Records the message of a call instead of sending it, and returns a message
+// received before as its answer.
+class RecordingConnector : public jsonrpc::IClientConnector {
+ public:
+  void SendRPCMessage(const std::string& message, std::string& result) throw(
+      jsonrpc::JsonRpcException) override {
+    sent = message;
+    result = answer;
+  }
+
+  std::string sent;
+  std::string answer;
+};
+
+class UnusedServerConnector : public jsonrpc::AbstractServerConnector {
+ public:
+  bool StartListening() override { return true; }
+  bool StopListening() override { return true; }
+  bool SendResponse(const std::string&, void*) override { return true; }
+};
+
+class Dispatcher : public jsonrpc::AbstractServer<Dispatcher> {
+ public:
+  Dispatcher(jsonrpc::AbstractServerConnector& connector,
+             const std::vector<std::string>& methods)
+      : jsonrpc::AbstractServer<Dispatcher>(connector,
+                                            jsonrpc::JSONRPC_SERVER_V2) {
+    for (const std::string& method : methods) {
+      bindAndAddMethod(jsonrpc::Procedure(method, jsonrpc::PARAMS_BY_NAME,
+                                          jsonrpc::JSON_OBJECT, nullptr),
+                       &Dispatcher::Handle);
+    }
+  }
+
+  void HandleMethodCall(jsonrpc::Procedure& procedure,
+                        const Json::Value& input,
+                        Json::Value& output) override {
+    called = true;
+    method = procedure.GetProcedureName();
+    params = input;
+    if (!failure.empty())
+      throw jsonrpc::JsonRpcException(kServerError, failure);
+    output = result;
+  }
+
+  void Handle(const Json::Value&, Json::Value&) {}
+
+  bool called = false;
+  std::string method;
+  Json::Value params;
+  Json::Value result;
+  std::string failure;
+};
+
+}  // namespace
+
+struct JsonRpcClientCodec::State {
+  RecordingConnector connector;
+  jsonrpc::Client client{connector};
+};
+
+JsonRpcClientCodec::JsonRpcClientCodec() : state_(new State()) {}
+JsonRpcClientCodec::~JsonRpcClientCodec() = default;
+
+std::string JsonRpcClientCodec::EncodeCall(const std::string& method,
+                                           const std::string& params) {
+  Json::Value value;
+  if (!ReadJson(params, value) || !value.isObject())
+    return {};
+  state_->connector.answer = "{\"id\":1,\"jsonrpc\":\"2.0\",\"result\":null}";
+  Json::Value ignored;
+  try {
+    state_->client.CallMethod(method, value, ignored);
+  } catch (const std::exception&) {
+    return {};
+  }
+  std::string message = std::move(state_->connector.sent);
+  StripLineEnd(message);
+  return message;
+}
+
+JsonRpcClientCodec::Answer JsonRpcClientCodec::DecodeAnswer(
+    const std::string& message) {
+  Answer answer;
+  if (NestsTooDeep(message)) {
+    answer.error = "the answer nests too deep";
+    return answer;
+  }
+  state_->connector.answer = message;
+  try {
+    Json::Value result;
+    state_->client.CallMethod("answer", Json::Value(Json::objectValue), result);
+    answer.ok = true;
+    answer.result = WriteJson(result);
+  } catch (const std::exception& error) {
+    answer.error = error.what();
+  }
+  return answer;
+}
+
+struct JsonRpcServerCodec::State {
+  explicit State(const std::vector<std::string>& methods)
+      : dispatcher(connector, methods) {}
+
+  std::string Handle(const std::string& message) {
+    dispatcher.called = false;
+    if (NestsTooDeep(message))
+      return ErrorMessage(kParseError, "the message nests too deep");
+    std::string answer;
+    try {
+      connector.GetHandler()->HandleRequest(message, answer);
+    } catch (const std::exception& error) {
+      dispatcher.called = false;
+      return ErrorMessage(kParseError, error.what());
+    }
+    StripLineEnd(answer);
+    return answer;
+  }
+
+  UnusedServerConnector connector;
+  Dispatcher dispatcher;
+};
+
+JsonRpcServerCodec::JsonRpcServerCodec(const std::vector<std::string>& methods)
+    : state_(new State(methods)) {}
+JsonRpcServerCodec::~JsonRpcServerCodec() = default;
+
+JsonRpcServerCodec::Call JsonRpcServerCodec::Accept(
+    const std::string& message) {
+  Call call;
+  state_->dispatcher.result = Json::Value(Json::objectValue);
+  state_->dispatcher.failure.clear();
+  call.answer = state_->Handle(message);
+  // A batch is refused: its calls could not be answered one by one.
+  const auto first = message.find_first_not_of(" \t");
+  if (first != std::string::npos && message[first] == '[') {
+    call.answer = ErrorMessage(kParseError, "batches are not supported");
+    return call;
+  }
+  call.accepted = state_->dispatcher.called;
+  if (call.accepted) {
+    call.method = state_->dispatcher.method;
+    call.params = WriteJson(state_->dispatcher.params);
+  }
+  return call;
+}
+
+std::string JsonRpcServerCodec::Complete(const std::string& message,
+                                         const std::string& result) {
+  state_->dispatcher.failure.clear();
+  if (!ReadJson(result, state_->dispatcher.result))
+    return ErrorMessage(kServerError, "the result is not JSON");
+  return state_->Handle(message);
+}
+
+std::string JsonRpcServerCodec::Fail(const std::string& message,
+                                     const std::string& reason) {
+  state_->dispatcher.failure = reason;
+  return state_->Handle(message);
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/peers/peer_channel.h
@@ -0,0 +1,72 @@
+// One connection for control calls to one peer.
+
+#ifndef POLLENRUDDER_PEERS_PEER_CHANNEL_H_
+#define POLLENRUDDER_PEERS_PEER_CHANNEL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "base/result.h"
+#include "peers/json_rpc_codec.h"
+
+namespace pollenrudder {
+
+// Sends calls one after the other and hands each its answer. A call without an
+// answer in time closes the connection. Used on the thread of PeerClient.
+class PeerChannel : public std::enable_shared_from_this<PeerChannel> {
+ public:
+  // Bytes sent and received by one call.
+  struct Usage {
+    std::size_t sent = 0;
+    std::size_t received = 0;
+  };
+  // Called once with the result as JSON text.
+  using Callback = std::function<void(Result<std::string>, const Usage&)>;
+
+  // More calls than this wait only behind a peer that does not answer.
+  static constexpr std::size_t kMaxWaiting = 4;
+
+  PeerChannel(boost::asio::any_io_executor executor,
+              boost::asio::ip::tcp::endpoint endpoint,
+              JsonRpcClientCodec& codec);
+
+  void Call(const char* method,
+            const std::string& params,
+            std::chrono::milliseconds timeout,
+            Callback callback);
+
+  bool idle() const { return !running_; }
+
+ private:
+  struct PendingCall {
+    std::string message;
+    std::chrono::milliseconds timeout;
+    Callback callback;
+  };
+
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<Result<std::string>> Exchange(
+      const std::string& message,
+      Usage& usage);
+  void Close();
+
+  const boost::asio::any_io_executor executor_;
+  const boost::asio::ip::tcp::endpoint endpoint_;
+  JsonRpcClientCodec& codec_;
+  boost::beast::tcp_stream stream_;
+  bool connected_ = false;
+  bool running_ = false;
+  std::deque<PendingCall> waiting_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_PEERS_PEER_CHANNEL_H_
--- /dev/null
+++ b/packages/platform/platform_test.cc
@@ -0,0 +1,103 @@
+// Tests of the pure parts of the platform package; tests/system runs the
+// clients against the stand-ins.
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "platform/http_connection.h"
+#include "platform/log_tail.h"
+#include "platform/platform_messages.h"
+#include "platform/reader_tree.h"
+
+namespace pollenrudder {
+namespace {
+
+// Guards against a reader that takes a cut-off or inconsistent answer for the
+// end of the log, which would prove a lease that has ended.
+TEST_CASE("an answer of the log is read whole or refused") {
+  const std::string text =
+      R"({"first":1,"next":4,"records":[{"offset":2,"data":"a"},)"
+      R"({"offset":3,"data":"b"}]})";
+  const auto read = ParseRecords(text, 2, 10).value();
+  REQUIRE(read.next == 4);
+  REQUIRE(read.reached_end);
+  REQUIRE(read.records[1].data == "b");
+  REQUIRE_FALSE(ParseRecords(text, 2, 2).value().reached_end);
+  REQUIRE_FALSE(ParseRecords(text, 3, 10));
+  const std::string broken =
+      GENERATE("", "[]", R"({"first":1,"next":4})",
+               R"({"first":1,"next":-4,"records":[]})",
+               R"({"first":1,"next":4,"records":[{"offset":2}]})",
+               R"({"first":1,"next":5,"records":[{"offset":2,"data":"a"},)"
+               R"({"offset":4,"data":"b"}]})");
+  REQUIRE_FALSE(ParseRecords(broken, 2, 10));
+  REQUIRE_FALSE(ParseAppendAnswer(broken));
+  REQUIRE_FALSE(ParseInstances(broken));
+  // More records follow: the log says so by its next offset.
+  REQUIRE_FALSE(
+      ParseRecords(R"({"first":1,"next":9,"records":[{"offset":2,"data":""}]})",
+                   2, 10)
+          .value()
+          .reached_end);
+}
+
+// Guards against a zone peer that receives records with a gap.
+TEST_CASE("the tail serves consecutive records or none") {
+  LogTail tail(4);
+  REQUIRE_FALSE(tail.Read(1, 10).has_value());
+  tail.Add({3, 6, {{4, "dd"}, {5, "ee"}}, BootTime(std::chrono::seconds(5))});
+  REQUIRE_FALSE(tail.Read(3, 10).has_value());
+  REQUIRE(tail.Read(4, 1)->records.at(0).offset == 4);
+  REQUIRE_FALSE(tail.Read(4, 1)->reached_end);
+  // The oldest record makes room, and an older read changes nothing.
+  tail.Add({3, 7, {{5, "ee"}, {6, "ff"}}, BootTime(std::chrono::seconds(6))});
+  tail.Add({3, 5, {{4, "dd"}}, BootTime(std::chrono::seconds(4))});
+  REQUIRE_FALSE(tail.Read(4, 10).has_value());
+  REQUIRE(tail.Read(5, 10)->records.size() == 2);
+  REQUIRE(tail.Read(5, 10)->next == 7);
+  REQUIRE(tail.Read(9, 10)->next == 7);
+  REQUIRE(tail.Read(9, 10)->proof_time == BootTime(std::chrono::seconds(6)));
+  // After a gap only the newer records are held.
+  tail.Add({3, 10, {{9, "i"}}, BootTime(std::chrono::seconds(7))});
+  REQUIRE_FALSE(tail.Read(6, 10).has_value());
+  REQUIRE(tail.Read(9, 10)->records.size() == 1);
+  // A reader that asks before the retained records needs only those.
+  LogTail whole;
+  whole.Add({3, 5, {{3, "c"}, {4, "d"}}, BootTime()});
+  REQUIRE(whole.Read(1, 10)->records.size() == 2);
+}
+
+// Guards against a cycle of readers, which would cut them off from the log.
+TEST_CASE("the reader tree of a zone has degree 8 and no cycle") {
+  std::vector<ListedInstance> instances;
+  for (int index = 0; index < 20; ++index) {
+    const std::string name = "i" + std::to_string(10 + index);
+    instances.push_back({ListedInstance::Kind::kEntry, name, "", "zone",
+                         "region", "", name + ":peer"});
+  }
+  instances.push_back(
+      {ListedInstance::Kind::kEntry, "a", "", "other", "region", "", "a:peer"});
+  instances.push_back(
+      {ListedInstance::Kind::kEntry, "b", "", "zone", "region", "", "b", true});
+  REQUIRE(FindReaderParent(instances, "i10", "zone").empty());
+  REQUIRE(FindReaderParent(instances, "i11", "zone") == "i10:peer");
+  REQUIRE(FindReaderParent(instances, "i18", "zone") == "i10:peer");
+  REQUIRE(FindReaderParent(instances, "i19", "zone") == "i11:peer");
+  REQUIRE(FindReaderParent(instances, "i29", "zone") == "i12:peer");
+  REQUIRE(FindReaderParent(instances, "unlisted", "zone").empty());
+}
+
+// Guards against settings that are accepted and fail at run time.
+TEST_CASE("only an IP address with a port is an endpoint") {
+  REQUIRE(ParseEndpoint("127.0.0.1:80").value().port() == 80);
+  REQUIRE(ParseEndpoint("[::1]:80").value().address().is_v6());
+  for (const char* const text :
+       {"", ":", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536",
+        "127.0.0.1:8x", "127.0.0.1:-1"})
+    REQUIRE_FALSE(ParseEndpoint(text));
+}
+
+}  // namespace
+}  // namespace pollenrudder
