--- a/packages/routing/request_records.cc
+++ b/packages/routing/request_records.cc
@@ -69,8 +69,8 @@
 RequestBegin RequestRecords::Begin(const RequestId& id,
                                    LogOffset epoch,
                                    BootTime now) {
-  const RequestBegin invalid{RequestBegin::Kind::kInvalid,
-                             ErrorKind::kInvalidRequestId, nullptr};
+  RequestBegin invalid{RequestBegin::Kind::kInvalid,
+                       ErrorKind::kInvalidRequestId, nullptr};
   DropEnded(now);
   if (id.service != service_ || id.upstream != upstream_)
     return invalid;
--- a/packages/routing/two_choices.cc
+++ b/packages/routing/two_choices.cc
@@ -135,8 +135,11 @@
   const Entry* second = first;
   for (int draw = 0; draw < kMaxDraws && second == first; ++draw)
     second = Draw(usable, now);
-  const bool take_second =
-      Cost(*second->observed, now) < Cost(*first->observed, now);
+  const double ratio =
+      std::pow(Cost(*second->observed, now) / Cost(*first->observed, now),
+               options_.sharpness);
+  std::uniform_real_distribution<double> share(0, 1);
+  const bool take_second = share(random_) * (1 + ratio) < 1;
   return &(take_second ? second : first)->upstream.name;
 }
 
--- a/packages/routing/two_choices.h
+++ b/packages/routing/two_choices.h
@@ -18,7 +18,7 @@
 namespace pollenrudder {
 
 // Draws two upstreams of the nearest tier with a usable one (own zone, own
-// region, elsewhere) and takes the one with the lower cost:
+// region, elsewhere) and mostly takes the one with the lower cost:
 //   (requests in flight + 1) x recent latency x penalty for recent failures.
 // An upstream that has failed several times in a row is unusable for a moment
 // that doubles up to a limit. A tier is passed over while all its upstreams
@@ -38,6 +38,10 @@
     std::chrono::nanoseconds max_pause = std::chrono::seconds(5);
     // Failures in a row after which an upstream is paused.
     std::uint32_t failures_to_pause = 3;
+    // The better one of two is taken with the odds (worse cost / better cost)
+    // to the power of this. If it always won, an upstream that is hardly worse
+    // would get no request, and no new sample, at low load.
+    double sharpness = 4;
     // Requests of this sender in flight on each upstream of a tier at which
     // the next tier is used as well.
     std::uint32_t spill_in_flight = 8;
