Keep the test's rings alive until the client's thread has left them

peers_test crashed in 2 of 3 runs: a ring on the stack was destroyed while the client's thread was still inside Push(). The client itself was ruled out.

--- a/packages/peers/peers_test.cc
+++ b/packages/peers/peers_test.cc
@@ -1,7 +1,6 @@
 // Tests of the control messages between instances, over real connections.
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -125,17 +124,18 @@
 TEST_CASE("a waiting zone peer receives new records with the age of the read") {
   ServerFixture fixture;
   const auto read_tail = [&](LogOffset from, std::chrono::milliseconds wait) {
-    std::optional<Result<LogRecordsRead>> answer;
-    BoundedRing<int> done(1);
+    // Shared: the client's thread may still be inside Push() after Pop().
+    const auto answers =
+        std::make_shared<BoundedRing<Result<LogRecordsRead>>>(1);
     fixture.client->ReadTail(fixture.server->address(), from, wait,
-                             [&](Result<LogRecordsRead> read) {
-                               answer = std::move(read);
-                               done.Push(1);
+                             [answers](Result<LogRecordsRead> read) {
+                               answers->Push(std::move(read));
                              });
     std::this_thread::sleep_for(50ms);
     const BootTime proof = BootClock::now() - 1s;
     fixture.tail.Add({1, 3, {{1, "a"}, {2, "b"}}, proof});
-    REQUIRE(done.PopFor(kPatience));
+    auto answer = answers->PopFor(kPatience);
+    REQUIRE(answer.has_value());
     return *answer;
   };
   // The tail held nothing when it was asked, so the peer must read the log.
@@ -166,10 +166,11 @@
   const auto advice = fixture.Take<MoveAdvised>(fixture.server_inputs);
   REQUIRE(advice.shards == std::vector<std::uint32_t>{1, 2});
   REQUIRE(advice.target == "carta-2");
-  BoundedRing<std::vector<std::string>> parts(1);
-  fixture.client->FetchSnapshot(
-      address, [&](auto result) { parts.Push(std::move(result).value()); });
-  REQUIRE(parts.PopFor(kPatience) ==
+  const auto parts = std::make_shared<BoundedRing<std::vector<std::string>>>(1);
+  fixture.client->FetchSnapshot(address, [parts](auto result) {
+    parts->Push(std::move(result).value());
+  });
+  REQUIRE(parts->PopFor(kPatience) ==
           std::vector<std::string>{"part one", "part\ntwo"});
 }
 
