--- /dev/null
+++ b/apps/pollenrudderd/admin_requests.h
@@ -0,0 +1,39 @@
+// The answers of the daemon's admin port.
+
+#ifndef POLLENRUDDER_POLLENRUDDERD_ADMIN_REQUESTS_H_
+#define POLLENRUDDER_POLLENRUDDERD_ADMIN_REQUESTS_H_
+
+#include <string_view>
+
+#include "base/metrics.h"
+#include "callers/routing_table_holder.h"
+#include "operators/admin_handler.h"
+#include "pollenrudderd/control_thread.h"
+
+namespace pollenrudder {
+
+// Answers /status, /metrics, /route and /health. The references must outlive
+// the object.
+class AdminRequests final : public AdminHandler {
+ public:
+  AdminRequests(ControlThread& control,
+                const RoutingTableHolder& tables,
+                Metrics& metrics);
+
+  // AdminHandler:
+  AdminAnswer HandleAdminRequest(std::string_view target) override;
+
+ private:
+  AdminAnswer Status();
+  AdminAnswer Health() const;
+  AdminAnswer RenderMetrics();
+  AdminAnswer Route(std::string_view target) const;
+
+  ControlThread& control_;
+  const RoutingTableHolder& tables_;
+  Metrics& metrics_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_POLLENRUDDERD_ADMIN_REQUESTS_H_
--- /dev/null
+++ b/apps/pollenrudderd/control_thread.h
@@ -0,0 +1,90 @@
+// The control thread of the daemon.
+
+#ifndef POLLENRUDDER_POLLENRUDDERD_CONTROL_THREAD_H_
+#define POLLENRUDDER_POLLENRUDDERD_CONTROL_THREAD_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/bounded_ring.h"
+#include "callers/routing_table_holder.h"
+#include "ownership/controller.h"
+#include "peers/peer_client.h"
+#include "peers/peer_server.h"
+#include "platform/platform_thread.h"
+#include "upstreams/upstream_sender.h"
+
+namespace pollenrudder {
+
+// Owns the Controller: takes events from the ring of inputs, feeds them to it
+// and carries out its actions through the I/O threads. Related: Daemon.
+class ControlThread {
+ public:
+  // The objects that carry out actions. They must outlive Stop().
+  struct Outputs {
+    PlatformThread& platform;
+    PeerClient& peer_client;
+    PeerServer& peer_server;
+    UpstreamSender& sender;
+    RoutingTableHolder& tables;
+  };
+
+  using Inputs = BoundedRing<ControllerInput>;
+
+  ControlThread(std::unique_ptr<Controller> controller,
+                std::string instance,
+                std::string zone,
+                Inputs& inputs);
+  ~ControlThread();
+  ControlThread(const ControlThread&) = delete;
+  ControlThread& operator=(const ControlThread&) = delete;
+
+  void Start(const Outputs& outputs);
+  // Stops and joins the thread.
+  void Stop();
+
+  // The functions below may be called from any thread.
+  // Answers with Controller::StatusJson(), or nothing if it takes too long.
+  std::string ReadStatus();
+  // Answers a zone peer's request for the replayed state.
+  void AnswerSnapshot(std::uint64_t call_id);
+  bool leave_finished() const { return leave_finished_; }
+
+ private:
+  using Task = std::function<void()>;
+
+  void Run();
+  void RunTasks();
+  void Handle(const ControllerInput& input);
+  void CarryOut(const std::vector<ControllerAction>& actions);
+  void FetchSnapshot();
+  void LoadSnapshot(const std::vector<std::string>& parts);
+
+  const std::unique_ptr<Controller> controller_;
+  const std::string instance_;
+  const std::string zone_;
+  Inputs& inputs_;
+  // Work for this thread that is no input of the controller.
+  BoundedRing<Task> tasks_;
+  // Set from Start() on.
+  std::unique_ptr<Outputs> outputs_;
+  std::thread thread_;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<bool> leave_finished_ = false;
+
+  // Used on the control thread only.
+  std::vector<ListedInstance> instances_;
+  bool log_was_read_ = false;
+  BootTime next_snapshot_;
+  std::size_t snapshot_peer_ = 0;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_POLLENRUDDERD_CONTROL_THREAD_H_
--- /dev/null
+++ b/apps/pollenrudderd/main.cc
@@ -0,0 +1,106 @@
+// The entry point of pollenrudderd.
+
+#include <pthread.h>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+#include "base/event_log.h"
+#include "document/daemon_settings.h"
+#include "pollenrudderd/command_line.h"
+#include "pollenrudderd/daemon.h"
+
+namespace pollenrudder {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+
+// Reads and checks the settings; prints every fault.
+std::optional<DaemonSettings> ReadSettings(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  if (!file) {
+    std::cerr << path << ": cannot be read\n";
+    return std::nullopt;
+  }
+  const DaemonSettings::Checked checked = DaemonSettings::Parse(text);
+  for (const DocumentError& error : checked.errors) {
+    std::cerr << path << ':' << error.line << ':' << error.column << ": "
+              << error.message << '\n';
+  }
+  if (!checked.valid())
+    return std::nullopt;
+  return checked.settings;
+}
+
+// The signals that start a leave. All threads block them, so that only the
+// main thread takes them.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int RunDaemon(const DaemonSettings& settings) {
+  const sigset_t signals = BlockSignals();
+  EventLog::Initialize();
+  auto daemon = Daemon::Start(settings);
+  if (!daemon) {
+    std::cerr << "pollenrudderd: " << daemon.error().message << '\n';
+    return kExitFailure;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  std::atomic<bool> cancelled = false;
+  std::atomic<bool> finished = false;
+  std::thread second_signal([&] {
+    constexpr timespec kPoll{0, 50'000'000};
+    while (!finished && !cancelled)
+      cancelled = sigtimedwait(&signals, nullptr, &kPoll) > 0;
+  });
+  daemon.value()->Leave(cancelled);
+  finished = true;
+  second_signal.join();
+  return kExitOk;
+}
+
+int Run(int argument_count, char** arguments) {
+  const auto line = CommandLine::Parse(argument_count, arguments);
+  if (!line) {
+    std::cerr << "pollenrudderd: " << line.error().message << '\n'
+              << CommandLine::HelpText();
+    return kExitUsage;
+  }
+  switch (line.value().mode) {
+    case CommandLine::Mode::kHelp:
+      std::cout << CommandLine::HelpText();
+      return kExitOk;
+    case CommandLine::Mode::kVersion:
+      std::cout << "pollenrudderd " << POLLENRUDDER_VERSION << '\n';
+      return kExitOk;
+    case CommandLine::Mode::kCheck:
+    case CommandLine::Mode::kRun:
+      break;
+  }
+  const auto settings = ReadSettings(line.value().settings_path);
+  if (!settings)
+    return kExitFailure;
+  if (line.value().mode == CommandLine::Mode::kCheck)
+    return kExitOk;
+  return RunDaemon(*settings);
+}
+
+}  // namespace
+}  // namespace pollenrudder
+
+int main(int argument_count, char** arguments) {
+  return pollenrudder::Run(argument_count, arguments);
+}
--- a/packages/callers/caller_server.cc
+++ b/packages/callers/caller_server.cc
@@ -76,8 +76,20 @@
   void StartShutdown() {
     boost::asio::post(io_, [this] {
       closing_ = true;
-      error_code ignored;
-      acceptor_.close(ignored);
+      // Connections that the kernel has accepted would be reset.
+      error_code error;
+      acceptor_.non_blocking(true, error);
+      while (!error) {
+        tcp::socket socket = acceptor_.accept(error);
+        if (!error)
+          OnAccepted(std::move(socket));
+      }
+      acceptor_.close(error);
+    });
+  }
+
+  void CloseIdle() {
+    boost::asio::post(io_, [this] {
       for (const auto& session : ListSessions())
         session->CloseIfIdle();
     });
@@ -178,7 +190,7 @@
                                         "server=\"" + options.name + "\"")) {}
 
   Result<void> Start(const RequestHandler::Factory& factory) {
-    auto parsed = ParseAddress(options_.address);
+    auto parsed = ParseSocketAddress(options_.address);
     if (!parsed)
       return parsed.error();
     tcp::endpoint endpoint = parsed.value();
@@ -191,7 +203,7 @@
       endpoint = thread->local_endpoint();
       threads_.push_back(std::move(thread));
     }
-    address_ = FormatAddress(endpoint);
+    address_ = SocketAddressText(endpoint);
     for (const auto& thread : threads_)
       thread->Start(factory);
     return boost::outcome_v2::success();
@@ -254,6 +266,11 @@
     thread->StartShutdown();
 }
 
+void CallerServer::CloseIdle() {
+  for (const auto& thread : core_->threads())
+    thread->CloseIdle();
+}
+
 std::size_t CallerServer::open_connections() const {
   std::size_t sum = 0;
   for (const auto& thread : core_->threads())
--- a/packages/callers/caller_server.h
+++ b/packages/callers/caller_server.h
@@ -19,7 +19,8 @@
 // event loop, listening socket and RequestHandler, so that a request never
 // changes its thread. Sizes, connections and times are bounded.
 //   auto server = CallerServer::Create(options, factory, metrics);
-//   ... server->StartShutdown(); wait for requests; server->Stop();
+//   ... server->StartShutdown(); wait; server->CloseIdle();
+//   ... server->Stop();
 class CallerServer {
  public:
   struct Options {
@@ -45,9 +46,12 @@
   // The bound address.
   const std::string& address() const;
 
-  // Accepts no new connections, closes idle ones, and ends each other one with
-  // its next response.
+  // Accepts no new connections and ends each open one with its next response.
   void StartShutdown();
+  // Closes the connections on which no request is out. Call it a while after
+  // StartShutdown(), so that callers which use their connections learn of it by
+  // a response.
+  void CloseIdle();
   std::size_t open_connections() const;
   // Stops and joins the threads. The event loops stay, since answers of other
   // threads may still be posted to them.
--- a/packages/callers/caller_session.cc
+++ b/packages/callers/caller_session.cc
@@ -191,8 +191,6 @@
   EnterPhase(Phase::kIdle);
   if (buffer_.size() > 0)
     Parse();
-  else if (owner_.is_closing())
-    Close();
   StartRead();
 }
 
--- a/packages/peers/peers_test.cc
+++ b/packages/peers/peers_test.cc
@@ -167,8 +167,9 @@
   REQUIRE(advice.shards == std::vector<std::uint32_t>{1, 2});
   REQUIRE(advice.target == "carta-2");
   const auto parts = std::make_shared<BoundedRing<std::vector<std::string>>>(1);
-  fixture.client->FetchSnapshot(
-      address, [&](auto result) { parts.Push(std::move(result).value()); });
+  fixture.client->FetchSnapshot(address, [parts](auto result) {
+    parts->Push(std::move(result).value());
+  });
   REQUIRE(parts->PopFor(kPatience) ==
           std::vector<std::string>{"part one", "part\ntwo"});
 }
--- a/packages/upstreams/address.cc
+++ b/packages/upstreams/address.cc
@@ -13,7 +13,7 @@
 
 using boost::asio::ip::tcp;
 
-Result<tcp::endpoint> ParseAddress(std::string_view address) {
+Result<tcp::endpoint> ParseSocketAddress(std::string_view address) {
   const auto fail = [&] {
     return MakeError(ErrorKind::kInvalidSettings,
                      "\"" + std::string(address) +
@@ -34,11 +34,11 @@
 }
 
 tcp::endpoint EndpointOf(std::string_view address) {
-  auto parsed = ParseAddress(address);
+  auto parsed = ParseSocketAddress(address);
   return parsed ? parsed.value() : tcp::endpoint();
 }
 
-std::string FormatAddress(const tcp::endpoint& endpoint) {
+std::string SocketAddressText(const tcp::endpoint& endpoint) {
   const std::string ip = endpoint.address().to_string();
   const bool version_6 = endpoint.address().is_v6();
   return (version_6 ? "[" + ip + "]" : ip) + ":" +
--- a/packages/upstreams/address.h
+++ b/packages/upstreams/address.h
@@ -13,14 +13,15 @@
 namespace pollenrudder {
 
 // Parses "ip:port" or "[ip]:port"; fails with kInvalidSettings.
-Result<boost::asio::ip::tcp::endpoint> ParseAddress(std::string_view address);
+Result<boost::asio::ip::tcp::endpoint> ParseSocketAddress(
+    std::string_view address);
 
-// As ParseAddress(), for an address that was read from the log. One that can't
-// be parsed gives port 0 of the unspecified address, to which no connection
-// can be opened.
+// As ParseSocketAddress(), for an address that was read from the log. One that
+// can't be parsed gives port 0 of the unspecified address, to which no
+// connection can be opened.
 boost::asio::ip::tcp::endpoint EndpointOf(std::string_view address);
 
-std::string FormatAddress(const boost::asio::ip::tcp::endpoint& endpoint);
+std::string SocketAddressText(const boost::asio::ip::tcp::endpoint& endpoint);
 
 }  // namespace pollenrudder
 
--- a/packages/upstreams/shard_drains.cc
+++ b/packages/upstreams/shard_drains.cc
@@ -26,13 +26,11 @@
   abandoned_.push_back({shard, busy_until});
 }
 
-void ShardDrains::Start(const std::vector<std::uint32_t>& shards,
-                        bool whole,
-                        const EpochOf& epoch_of) {
-  for (const std::uint32_t shard : shards)
+void ShardDrains::Start(DrainShards drain, const EpochOf& epoch_of) {
+  for (const std::uint32_t shard : drain.shards)
     blocked_.try_emplace(shard, epoch_of(shard));
-  whole_blocked_ = whole_blocked_ || whole;
-  pending_.push_back({shards, whole});
+  whole_blocked_ = whole_blocked_ || drain.whole;
+  pending_.push_back(std::move(drain));
 }
 
 void ShardDrains::OnTable(const EpochOf& epoch_of) {
@@ -41,30 +39,45 @@
   });
 }
 
-void ShardDrains::UnblockWhole() {
-  whole_blocked_ = false;
+void ShardDrains::Resume(const std::vector<std::uint32_t>& shards, bool whole) {
+  if (whole) {
+    whole_blocked_ = false;
+    blocked_.clear();
+    pending_.clear();
+    return;
+  }
+  for (const std::uint32_t shard : shards)
+    blocked_.erase(shard);
+  std::erase_if(pending_, [&shards](const DrainShards& drain) {
+    return std::ranges::any_of(drain.shards, [&](std::uint32_t shard) {
+      return std::ranges::find(shards, shard) != shards.end();
+    });
+  });
+}
+
+DrainFinished ShardDrains::FinishedOf(DrainShards drain) {
+  return {std::move(drain.upstream), std::move(drain.shards), drain.whole};
 }
 
 bool ShardDrains::IsBlocked(std::uint32_t shard) const {
   return whole_blocked_ || blocked_.contains(shard);
 }
 
-std::vector<ShardDrains::FinishedDrain> ShardDrains::TakeFinished(
-    BootTime now) {
+std::vector<DrainFinished> ShardDrains::TakeFinished(BootTime now) {
   std::erase_if(abandoned_, [now](const Abandoned& abandoned) {
     return abandoned.busy_until <= now;
   });
-  std::vector<FinishedDrain> finished;
-  std::erase_if(pending_, [&](Pending& drain) {
+  std::vector<DrainFinished> finished;
+  std::erase_if(pending_, [&](DrainShards& drain) {
     if (!IsQuiet(drain))
       return false;
-    finished.push_back({std::move(drain.shards)});
+    finished.push_back(FinishedOf(std::move(drain)));
     return true;
   });
   return finished;
 }
 
-bool ShardDrains::IsQuiet(const Pending& drain) const {
+bool ShardDrains::IsQuiet(const DrainShards& drain) const {
   if (drain.whole)
     return in_flight_ == 0 && abandoned_.empty();
   return std::ranges::none_of(drain.shards, [this](std::uint32_t shard) {
--- a/packages/upstreams/shard_drains.h
+++ b/packages/upstreams/shard_drains.h
@@ -11,6 +11,7 @@
 
 #include "base/boot_clock.h"
 #include "base/log_offset.h"
+#include "ownership/controller_action.h"
 
 namespace pollenrudder {
 
@@ -29,22 +30,22 @@
   // As OnEnded(), but the request may run until `busy_until`.
   void OnAbandoned(std::uint32_t shard, BootTime busy_until);
 
-  // Blocks the shards (all if `whole`) until their epoch changes.
-  void Start(const std::vector<std::uint32_t>& shards,
-             bool whole,
-             const EpochOf& epoch_of);
+  // Blocks the shards of `drain` (all if it is of the whole upstream) until
+  // their epoch changes or Resume().
+  void Start(DrainShards drain, const EpochOf& epoch_of);
   // Ends the block of shards whose epoch has changed.
   void OnTable(const EpochOf& epoch_of);
-  // Ends the block of the whole upstream: its leader serves it again.
-  void UnblockWhole();
+  // Ends the block of these shards, or all blocks if `whole`, and the drains
+  // of them that have not finished.
+  void Resume(const std::vector<std::uint32_t>& shards, bool whole);
 
   bool IsBlocked(std::uint32_t shard) const;
 
-  struct FinishedDrain {
-    std::vector<std::uint32_t> shards;
-  };
-  // Returns the drains whose shards are quiet now, each once.
-  std::vector<FinishedDrain> TakeFinished(BootTime now);
+  // Returns the answers to the drains whose shards are quiet now, each once.
+  std::vector<DrainFinished> TakeFinished(BootTime now);
+
+  // The answer to a drain.
+  static DrainFinished FinishedOf(DrainShards drain);
 
   // Whether TakeFinished() may return something later without another call.
   bool is_waiting() const { return !pending_.empty(); }
@@ -55,12 +56,8 @@
     std::uint32_t shard = 0;
     BootTime busy_until;
   };
-  struct Pending {
-    std::vector<std::uint32_t> shards;
-    bool whole = false;
-  };
 
-  bool IsQuiet(const Pending& drain) const;
+  bool IsQuiet(const DrainShards& drain) const;
 
   // Shards with requests in flight. Invariant: the sum is in_flight_, and no
   // entry is 0.
@@ -70,7 +67,7 @@
   // With the epoch at the start of the drain.
   std::unordered_map<std::uint32_t, LogOffset> blocked_;
   bool whole_blocked_ = false;
-  std::vector<Pending> pending_;
+  std::vector<DrainShards> pending_;
 };
 
 }  // namespace pollenrudder
--- a/packages/upstreams/upstream_leader.h
+++ b/packages/upstreams/upstream_leader.h
@@ -76,10 +76,11 @@
   IssuedIds Issue(std::optional<std::uint32_t> shard, std::uint32_t count);
 
   void Drain(const DrainShards& drain);
+  void Resume(const ResumeShards& resume);
   // Precondition: `table` has the upstream.
   void SetTable(const RoutingTablePointer& table);
-  // `lease` may be the one in use; `ended` tells that it was ended on purpose.
-  void SetLease(const std::shared_ptr<LeaseCell>& lease, bool ended);
+  // `lease` may be the one in use.
+  void SetLease(const std::shared_ptr<LeaseCell>& lease);
   // Marks of these fingerprints are in force.
   void OnMarked(const std::vector<std::uint64_t>& fingerprints);
 
@@ -193,7 +194,6 @@
   const RoutedUpstream* upstream_ = nullptr;
   std::uint32_t upstream_index_ = 0;
   std::shared_ptr<LeaseCell> lease_;
-  bool lease_ended_ = false;
   bool released_ = false;
 
   ConnectionPool pool_;
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -38,8 +38,7 @@
   drains_.OnTable([this](std::uint32_t shard) { return EpochOf(shard); });
 }
 
-void UpstreamLeader::SetLease(const std::shared_ptr<LeaseCell>& lease,
-                              bool ended) {
+void UpstreamLeader::SetLease(const std::shared_ptr<LeaseCell>& lease) {
   const BootTime now = BootClock::now();
   if (lease->fence != lease_->fence) {
     // A record belongs to one term as leader; ids of another are refused.
@@ -47,16 +46,10 @@
                                                 RequestRecords::Options{});
     granted_ = false;
     StopCall(grant_);
-    drains_.UnblockWhole();
+    drains_.Resume({}, true);
   }
   lease_ = lease;
   released_ = false;
-  if (ended) {
-    lease_ended_ = true;
-  } else if (lease_ended_ && HasLease(now)) {
-    lease_ended_ = false;
-    drains_.UnblockWhole();
-  }
   Tick(now);
 }
 
@@ -74,12 +67,15 @@
   ReleaseHeld(BootClock::now(), true);
 }
 
+void UpstreamLeader::Resume(const ResumeShards& resume) {
+  drains_.Resume(resume.shards, resume.whole);
+}
+
 void UpstreamLeader::Drain(const DrainShards& drain) {
   EventLog::Write(kDrainStarted, {{"upstream", name_},
                                   {"shards", drain.shards.size()},
                                   {"whole", drain.whole ? "true" : "false"}});
-  drains_.Start(drain.shards, drain.whole,
-                [this](std::uint32_t shard) { return EpochOf(shard); });
+  drains_.Start(drain, [this](std::uint32_t shard) { return EpochOf(shard); });
   std::vector<std::uint64_t> waiting;
   std::vector<std::uint64_t> sent;
   for (const auto& [ticket, item] : items_) {
@@ -99,10 +95,10 @@
 void UpstreamLeader::ReportDrains(BootTime now) {
   if (!drains_.is_waiting())
     return;
-  for (auto& finished : drains_.TakeFinished(now)) {
+  for (DrainFinished& finished : drains_.TakeFinished(now)) {
     EventLog::Write(kDrainFinished,
                     {{"upstream", name_}, {"shards", finished.shards.size()}});
-    context_.listener.OnDrainFinished({name_, std::move(finished.shards)});
+    context_.listener.OnDrainFinished(std::move(finished));
   }
 }
 
--- a/packages/upstreams/upstream_sender.cc
+++ b/packages/upstreams/upstream_sender.cc
@@ -49,12 +49,14 @@
 struct LeaseChange {
   std::string upstream;
   std::shared_ptr<LeaseCell> lease;
-  bool ended = false;
 };
 
 using Work = std::variant<Submission, Cancellation, IdRequest>;
-using Control = std::
-    variant<LeaseChange, DrainShards, RoutingTablePointer, MarkFingerprints>;
+using Control = std::variant<LeaseChange,
+                             DrainShards,
+                             ResumeShards,
+                             RoutingTablePointer,
+                             MarkFingerprints>;
 
 // Ids of plain requests start with a random part, so that an upstream that
 // remembers ids never sees one twice from two processes.
@@ -132,8 +134,7 @@
       entry->ends_at = action.valid_until.time_since_epoch().count();
       lease = entry;
     }
-    const bool ended = action.valid_until <= BootClock::now();
-    PushControl(LeaseChange{action.upstream, std::move(lease), ended});
+    PushControl(LeaseChange{action.upstream, std::move(lease)});
   }
 
   // Control messages are few and must not be lost: the control thread waits
@@ -196,7 +197,7 @@
     current_leases_[change.upstream] = change.lease;
     Reconcile(change.upstream);
     if (UpstreamLeader* const leader = FindLeader(change.upstream))
-      leader->SetLease(change.lease, change.ended);
+      leader->SetLease(change.lease);
   }
 
   void Handle(const DrainShards& drain) {
@@ -205,7 +206,12 @@
       return;
     }
     // Nothing was ever sent.
-    listener_.OnDrainFinished({drain.upstream, drain.shards});
+    listener_.OnDrainFinished(ShardDrains::FinishedOf(drain));
+  }
+
+  void Handle(const ResumeShards& resume) {
+    if (UpstreamLeader* const leader = FindLeader(resume.upstream))
+      leader->Resume(resume);
   }
 
   void Handle(const RoutingTablePointer& table) {
@@ -365,6 +371,10 @@
   core_->PushControl(std::move(action));
 }
 
+void UpstreamSender::Resume(ResumeShards action) {
+  core_->PushControl(std::move(action));
+}
+
 void UpstreamSender::SetTable(RoutingTablePointer table) {
   core_->PushControl(std::move(table));
 }
--- a/packages/upstreams/upstream_sender.h
+++ b/packages/upstreams/upstream_sender.h
@@ -55,6 +55,7 @@
   // while the thread is busy.
   void ApplyLease(const SetLease& action);
   void Drain(DrainShards action);
+  void Resume(ResumeShards action);
   void SetTable(RoutingTablePointer table);
   void Mark(MarkFingerprints action);
 
