--- /dev/null
+++ b/packages/upstreams/fake_upstream_test.h
@@ -0,0 +1,98 @@
+// An upstream for tests whose answers and failures a test scripts.
+
+#ifndef POLLENRUDDER_UPSTREAMS_FAKE_UPSTREAM_TEST_H_
+#define POLLENRUDDER_UPSTREAMS_FAKE_UPSTREAM_TEST_H_
+
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace pollenrudder {
+
+// Accepts connections on a free loopback port, one blocking thread each.
+// Grants and health checks are answered with 200 unless the script does so.
+class FakeUpstream {
+ public:
+  struct Reply {
+    std::string bytes;
+    // Close in order, or reset, after the bytes.
+    bool close = false;
+    bool reset = false;
+  };
+  // Called on a connection's thread with the whole request; may block.
+  using Script = std::function<Reply(const std::string& request)>;
+
+  explicit FakeUpstream(Script script);
+  ~FakeUpstream();
+  FakeUpstream(const FakeUpstream&) = delete;
+  FakeUpstream& operator=(const FakeUpstream&) = delete;
+
+  const std::string& address() const { return address_; }
+  // Stops listening and resets all connections, as a crash does.
+  void Crash();
+
+  // The requests that reached the script, in order.
+  std::vector<std::string> requests();
+  std::vector<std::string> grants();
+  // The most requests in the script and connections open at one time.
+  int max_in_flight();
+  int max_connections();
+
+  // A complete 200 answer that echoes the request's id.
+  static std::string Answer(const std::string& request,
+                            const std::string& body);
+  // The value of a header of a request, or "".
+  static std::string Header(const std::string& request,
+                            const std::string& name);
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void AcceptLoop();
+  void Serve(Socket& socket);
+  Reply Handle(const std::string& request);
+
+  const Script script_;
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const std::string address_;
+  std::mutex mutex_;
+  std::list<Socket> sockets_;
+  std::vector<std::thread> threads_;
+  std::vector<std::string> requests_;
+  std::vector<std::string> grants_;
+  int in_flight_ = 0;
+  int max_in_flight_ = 0;
+  int connections_ = 0;
+  int max_connections_ = 0;
+  bool stopped_ = false;
+  std::thread accept_thread_;
+};
+
+// Holds the threads of a fake until a test opens it.
+class Gate {
+ public:
+  void Open();
+  void Wait();
+  // Waits until `count` threads wait or have waited. Fails the test otherwise.
+  void WaitForWaiting(int count);
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool open_ = false;
+  int waiting_ = 0;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_UPSTREAMS_FAKE_UPSTREAM_TEST_H_
--- /dev/null
+++ b/packages/upstreams/upstream_sender_test.cc
@@ -0,0 +1,533 @@
+// Tests of UpstreamSender against an upstream on loopback.
+
+#include "upstreams/upstream_sender.h"
+
+#include <chrono>
+#include <future>
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "base/bounded_ring.h"
+#include "routing/fingerprint.h"
+#include "upstreams/fake_upstream_test.h"
+
+namespace pollenrudder {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::seconds kPatience{10};
+constexpr LogOffset kFence = 7;
+constexpr LogOffset kPlaced = 9;
+
+// Collects the reports of the sender.
+class Reports : public UpstreamListener {
+ public:
+  void OnUpstreamObserved(UpstreamObserved event) override {
+    observed.Push(std::move(event));
+  }
+  void OnFingerprintConfirmed(FingerprintConfirmed event) override {
+    confirmed.Push(std::move(event));
+  }
+  void OnDrainFinished(DrainFinished event) override {
+    drained.Push(std::move(event));
+  }
+  void OnLoadReported(LoadReported event) override {
+    loads.Push(std::move(event));
+  }
+
+  // Skips states until `state` is observed.
+  UpstreamObserved WaitFor(UpstreamObserved::State state) {
+    while (true) {
+      auto event = observed.PopFor(kPatience);
+      REQUIRE(event);
+      if (event->state == state)
+        return *event;
+    }
+  }
+
+  BoundedRing<UpstreamObserved> observed{1024};
+  BoundedRing<FingerprintConfirmed> confirmed{64};
+  BoundedRing<DrainFinished> drained{64};
+  BoundedRing<LoadReported> loads{64};
+};
+
+FakeUpstream::Reply Echo(const std::string& request) {
+  return {FakeUpstream::Answer(request, "ok")};
+}
+
+// A sender that leads one upstream of a service with four shards.
+class Fixture {
+ public:
+  explicit Fixture(FakeUpstream::Script script = Echo,
+                   std::function<void(ServiceSettings&)> change = {})
+      : upstream(std::move(script)) {
+    settings.name = "geodata";
+    settings.path_prefix = "/geodata/";
+    settings.divided_by_key = true;
+    settings.shards = 4;
+    settings.slots = 2;
+    settings.connections = 4;
+    settings.deadline = 5s;
+    if (change)
+      change(settings);
+    sender = UpstreamSender::Create({"here.1", "region"}, reports, *metrics);
+    sender->SetTable(Table({kPlaced, kPlaced, kPlaced, kPlaced}));
+    SetLease(10s);
+  }
+
+  RoutingTablePointer Table(std::vector<LogOffset> offsets) const {
+    auto table = std::make_shared<RoutingTable>();
+    RoutedUpstream routed;
+    routed.name = "geo-1";
+    routed.service = settings.name;
+    routed.zone = "zone";
+    routed.region = "region";
+    routed.address = upstream.address();
+    routed.term = kFence;
+    routed.leader_since = kFence;
+    routed.leader = "here.1";
+    table->upstreams = {routed};
+    RoutedService service;
+    service.settings = settings;
+    service.upstreams = {0};
+    if (settings.divided_by_key) {
+      service.shard_owners.assign(settings.shards, 0);
+      service.shard_offsets = std::move(offsets);
+    }
+    table->services.emplace(settings.name, service);
+    return table;
+  }
+
+  void SetLease(std::chrono::nanoseconds left) {
+    sender->ApplyLease({"geo-1", kFence, BootClock::now() + left});
+  }
+
+  UpstreamRequest Request(const std::string& method = "GET",
+                          const std::string& body = "") const {
+    UpstreamRequest request;
+    request.service = settings.name;
+    request.upstream = "geo-1";
+    if (settings.divided_by_key)
+      request.shard = 1;
+    request.epoch = settings.divided_by_key ? kPlaced : kFence;
+    request.deadline = BootClock::now() + settings.deadline;
+    auto http = std::make_shared<HttpRequest>();
+    http->method = method;
+    http->target = "/geodata/key-1";
+    http->header_lines = "Host: geodata\r\n";
+    http->body = body;
+    request.http = std::move(http);
+    return request;
+  }
+
+  std::future<UpstreamAnswer> Send(UpstreamRequest request) {
+    auto promise = std::make_shared<std::promise<UpstreamAnswer>>();
+    auto future = promise->get_future();
+    last_ticket =
+        sender->Submit(std::move(request), [promise](UpstreamAnswer answer) {
+          promise->set_value(std::move(answer));
+        });
+    return future;
+  }
+
+  std::string IssueId() {
+    std::promise<IssuedIds> promise;
+    sender->Issue("geo-1", 1, 1,
+                  [&](IssuedIds ids) { promise.set_value(std::move(ids)); });
+    const IssuedIds ids = promise.get_future().get();
+    REQUIRE(ids.ids.size() == 1);
+    return ids.ids[0];
+  }
+
+  ServiceSettings settings;
+  FakeUpstream upstream;
+  Reports reports;
+  std::unique_ptr<Metrics> metrics = Metrics::Create();
+  std::unique_ptr<UpstreamSender> sender;
+  std::uint64_t last_ticket = 0;
+};
+
+UpstreamAnswer Get(std::future<UpstreamAnswer> future) {
+  REQUIRE(future.wait_for(kPatience) == std::future_status::ready);
+  return future.get();
+}
+
+// Guards against requests without a fence, or before the upstream knows it.
+TEST_CASE("a grant precedes the first request, which carries all headers") {
+  Fixture fixture;
+  const UpstreamAnswer answer = Get(fixture.Send(fixture.Request()));
+  REQUIRE_FALSE(answer.error);
+  REQUIRE(answer.response.body == "ok");
+  REQUIRE(fixture.upstream.grants() ==
+          std::vector<std::string>{"{\"fence\": 7}"});
+  const std::string request = fixture.upstream.requests().at(0);
+  REQUIRE(FakeUpstream::Header(request, "Pollenrudder-Fence") == "9");
+  REQUIRE(FakeUpstream::Header(request, "Pollenrudder-Shard") == "1");
+  REQUIRE(FakeUpstream::Header(request, "Pollenrudder-Run-Before") == "400");
+  REQUIRE(FakeUpstream::Header(request, "Pollenrudder-Request-Id") ==
+          answer.request_id);
+  const auto deadline =
+      std::stoi(FakeUpstream::Header(request, "Pollenrudder-Deadline"));
+  REQUIRE(deadline > 0);
+  REQUIRE(deadline <= 5000);
+}
+
+// Guards against an upstream that starts a request after the lease has ended.
+TEST_CASE("run-before is at most the rest of the lease") {
+  Fixture fixture;
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+  fixture.SetLease(300ms);
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+  const auto run_before = std::stoi(FakeUpstream::Header(
+      fixture.upstream.requests().at(1), "Pollenrudder-Run-Before"));
+  REQUIRE(run_before <= 300);
+}
+
+struct DamagedAnswer {
+  const char* name;
+  std::function<FakeUpstream::Reply(const std::string&)> reply;
+  ErrorKind error;
+};
+
+// Guards against a caller that receives part of an answer, or another's.
+TEST_CASE("truncated, malformed and swapped answers are never passed on") {
+  const std::vector<DamagedAnswer> table = {
+      {"truncated body",
+       [](const std::string& request) {
+         std::string bytes = FakeUpstream::Answer(request, "complete body");
+         bytes.resize(bytes.size() - 3);
+         return FakeUpstream::Reply{bytes, true};
+       },
+       ErrorKind::kUnknownAnswerDamaged},
+      {"truncated header",
+       [](const std::string&) {
+         return FakeUpstream::Reply{"HTTP/1.1 200 OK\r\nContent-Le", true};
+       },
+       ErrorKind::kUnknownAnswerDamaged},
+      {"truncated chunk",
+       [](const std::string&) {
+         return FakeUpstream::Reply{
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+             true};
+       },
+       ErrorKind::kUnknownAnswerDamaged},
+      {"length known only by the end of the connection",
+       [](const std::string& request) {
+         return FakeUpstream::Reply{
+             "HTTP/1.1 200 OK\r\nPollenrudder-Request-Id: " +
+                 FakeUpstream::Header(request, "Pollenrudder-Request-Id") +
+                 "\r\n\r\nbody",
+             true};
+       },
+       ErrorKind::kUnknownAnswerDamaged},
+      {"another request's id",
+       [](const std::string&) {
+         return FakeUpstream::Reply{
+             "HTTP/1.1 200 OK\r\nPollenrudder-Request-Id: other\r\n"
+             "Content-Length: 2\r\n\r\nok"};
+       },
+       ErrorKind::kUnknownAnswerDamaged},
+      {"no id",
+       [](const std::string&) {
+         return FakeUpstream::Reply{
+             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+       },
+       ErrorKind::kUnknownAnswerDamaged},
+      {"reset after the request was written",
+       [](const std::string&) {
+         return FakeUpstream::Reply{"", false, true};
+       },
+       ErrorKind::kUnknownUpstreamLost},
+      {"closed after the request was written",
+       [](const std::string&) {
+         return FakeUpstream::Reply{"", true};
+       },
+       ErrorKind::kUnknownUpstreamLost},
+  };
+  for (const DamagedAnswer& row : table) {
+    INFO(row.name);
+    Fixture fixture(row.reply);
+    const UpstreamAnswer answer = Get(fixture.Send(fixture.Request()));
+    REQUIRE(answer.error == row.error);
+    REQUIRE(answer.response.body.empty());
+  }
+}
+
+// Guards against an answer that arrives late and is given to the next request.
+TEST_CASE("an answer with bytes behind it ends its connection") {
+  Fixture fixture([](const std::string& request) {
+    return FakeUpstream::Reply{FakeUpstream::Answer(request, "ok") +
+                               "HTTP/1.1 200 OK\r\n"};
+  });
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+}
+
+// Guards against a refusal that is reported as unknown, or a "not run" that
+// the upstream has not given.
+TEST_CASE("only a marked 503 is a refusal") {
+  Fixture fixture([](const std::string& request) {
+    const bool marked = request.starts_with("GET");
+    return FakeUpstream::Reply{
+        "HTTP/1.1 503 Busy\r\nPollenrudder-Request-Id: " +
+        FakeUpstream::Header(request, "Pollenrudder-Request-Id") + "\r\n" +
+        (marked ? "Pollenrudder-Not-Run: 1\r\n" : "") +
+        "Content-Length: 0\r\n\r\n"};
+  });
+  REQUIRE(Get(fixture.Send(fixture.Request("GET"))).error ==
+          ErrorKind::kNotRunOverloaded);
+  const UpstreamAnswer plain = Get(fixture.Send(fixture.Request("POST")));
+  REQUIRE_FALSE(plain.error);
+  REQUIRE(plain.response.status == 503);
+}
+
+// Guards against "not run" for a request whose connection was refused after an
+// earlier one had been used, and against "unknown" for one never connected.
+TEST_CASE("a request that finds no upstream was not run") {
+  Fixture fixture;
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+  fixture.upstream.Crash();
+  fixture.reports.WaitFor(UpstreamObserved::State::kLost);
+  const UpstreamAnswer answer = Get(fixture.Send(fixture.Request()));
+  REQUIRE(answer.error == ErrorKind::kNotRunUnreachable);
+}
+
+// Guards against more requests at an upstream than it has slots.
+TEST_CASE("slots and connections are never exceeded") {
+  Gate gate;
+  Fixture fixture([&gate](const std::string& request) {
+    gate.Wait();
+    return Echo(request);
+  });
+  std::vector<std::future<UpstreamAnswer>> answers;
+  constexpr int kRequests = 32;
+  for (int index = 0; index < kRequests; ++index)
+    answers.push_back(fixture.Send(fixture.Request()));
+  gate.WaitForWaiting(2);
+  gate.Open();
+  for (auto& answer : answers)
+    REQUIRE_FALSE(Get(std::move(answer)).error);
+  REQUIRE(fixture.upstream.max_in_flight() == 2);
+  REQUIRE(fixture.upstream.max_connections() <= 4);
+}
+
+// Guards against a request that waits in the queue and is sent by an instance
+// that is no longer the leader.
+TEST_CASE("a lease that ends between queue and send stops the send") {
+  Gate gate;
+  Fixture fixture(
+      [&gate](const std::string& request) {
+        gate.Wait();
+        return Echo(request);
+      },
+      [](ServiceSettings& settings) { settings.slots = 1; });
+  auto first = fixture.Send(fixture.Request());
+  gate.WaitForWaiting(1);
+  auto second = fixture.Send(fixture.Request());
+  fixture.SetLease(-1s);
+  gate.Open();
+  REQUIRE_FALSE(Get(std::move(first)).error);
+  REQUIRE(Get(std::move(second)).error == ErrorKind::kNotRunNoLease);
+  REQUIRE(fixture.upstream.requests().size() == 1);
+}
+
+// Guards against work for an upstream whose fence or shard has changed.
+TEST_CASE("a request of another epoch is refused as moved") {
+  Fixture fixture;
+  UpstreamRequest request = fixture.Request();
+  request.epoch = kPlaced - 1;
+  REQUIRE(Get(fixture.Send(std::move(request))).error ==
+          ErrorKind::kNotRunMoved);
+  fixture.sender->SetTable(fixture.Table({kPlaced, 20, kPlaced, kPlaced}));
+  REQUIRE(Get(fixture.Send(fixture.Request())).error ==
+          ErrorKind::kNotRunMoved);
+  REQUIRE(fixture.upstream.requests().empty());
+}
+
+// Guards against a caller that waits for ever, and against "not run" for a
+// request that was sent.
+TEST_CASE("a deadline ends a request by what is known of it") {
+  Gate gate;
+  Fixture fixture(
+      [&gate](const std::string& request) {
+        gate.Wait();
+        return Echo(request);
+      },
+      [](ServiceSettings& settings) {
+        settings.slots = 1;
+        settings.deadline = 150ms;
+      });
+  auto sent = fixture.Send(fixture.Request());
+  gate.WaitForWaiting(1);
+  auto waiting = fixture.Send(fixture.Request());
+  REQUIRE(Get(std::move(sent)).error == ErrorKind::kUnknownDeadline);
+  const auto error = Get(std::move(waiting)).error;
+  REQUIRE(error);
+  REQUIRE(AnswerFor(*error).outcome == Outcome::kNotRun);
+  gate.Open();
+}
+
+// Guards against a move that overlaps a request in flight, and against a
+// drained shard that takes new work.
+TEST_CASE("a drain waits for requests in flight and blocks new ones") {
+  Gate gate;
+  Fixture fixture([&gate](const std::string& request) {
+    gate.Wait();
+    return Echo(request);
+  });
+  auto first = fixture.Send(fixture.Request());
+  gate.WaitForWaiting(1);
+  fixture.sender->Drain({"geo-1", {1}, false, false});
+  REQUIRE(Get(fixture.Send(fixture.Request())).error ==
+          ErrorKind::kNotRunMoved);
+  REQUIRE_FALSE(fixture.reports.drained.Pop());
+  gate.Open();
+  REQUIRE_FALSE(Get(std::move(first)).error);
+  const auto drained = fixture.reports.drained.PopFor(kPatience);
+  REQUIRE(drained);
+  REQUIRE(drained->shards == std::vector<std::uint32_t>{1});
+  // A longer lease or a table with the same placement does not open it.
+  fixture.SetLease(20s);
+  fixture.sender->SetTable(fixture.Table({kPlaced, kPlaced, kPlaced, kPlaced}));
+  REQUIRE(Get(fixture.Send(fixture.Request())).error ==
+          ErrorKind::kNotRunMoved);
+  fixture.sender->Resume({"geo-1", {1}, false});
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+}
+
+// Guards against a shard that moves while a cancelled request may still start.
+TEST_CASE("a cancelled request keeps its shard busy until run-before") {
+  Gate gate;
+  Fixture fixture([&gate](const std::string& request) {
+    gate.Wait();
+    return Echo(request);
+  });
+  const BootTime sent = BootClock::now();
+  const auto answer = fixture.Send(fixture.Request());
+  gate.WaitForWaiting(1);
+  fixture.sender->Cancel(fixture.last_ticket, "geo-1");
+  fixture.sender->Drain({"geo-1", {1}, false, false});
+  REQUIRE(fixture.reports.drained.PopFor(kPatience));
+  REQUIRE(BootClock::now() - sent >= 400ms);
+  gate.Open();
+}
+
+// Guards against a booking that runs twice.
+TEST_CASE("a request id runs once and its repeat gets the same answer") {
+  int runs = 0;
+  Fixture fixture([&runs](const std::string& request) {
+    return FakeUpstream::Reply{
+        FakeUpstream::Answer(request, "run " + std::to_string(++runs))};
+  });
+  UpstreamRequest request = fixture.Request("POST", "booking");
+  request.request_id = fixture.IssueId();
+  const UpstreamAnswer first = Get(fixture.Send(request));
+  const UpstreamAnswer repeat = Get(fixture.Send(request));
+  REQUIRE(first.response.body == "run 1");
+  REQUIRE(repeat.response.body == "run 1");
+  REQUIRE(repeat.request_id == request.request_id);
+  REQUIRE(fixture.upstream.requests().size() == 1);
+  request.request_id.back() = request.request_id.back() == '0' ? '1' : '0';
+  REQUIRE(Get(fixture.Send(request)).error == ErrorKind::kInvalidRequestId);
+}
+
+// Guards against a repeat that runs while the first run is not finished, or
+// after its outcome became unknown.
+TEST_CASE("a repeat of an unfinished or lost request does not run") {
+  Gate gate;
+  Fixture fixture([&gate](const std::string&) {
+    gate.Wait();
+    return FakeUpstream::Reply{"", false, true};
+  });
+  UpstreamRequest request = fixture.Request("POST", "booking");
+  request.request_id = fixture.IssueId();
+  auto first = fixture.Send(request);
+  gate.WaitForWaiting(1);
+  REQUIRE(Get(fixture.Send(request)).error == ErrorKind::kUnknownInProgress);
+  gate.Open();
+  REQUIRE(Get(std::move(first)).error == ErrorKind::kUnknownUpstreamLost);
+  REQUIRE(Get(fixture.Send(request)).error == ErrorKind::kUnknownUpstreamLost);
+  REQUIRE(fixture.upstream.requests().size() == 1);
+}
+
+// Guards against a request that crashes one upstream after the other: its
+// caller gets no answer before the mark is in force.
+TEST_CASE("a lost upstream reports what was in flight and holds the answer") {
+  Gate gate;
+  Fixture fixture([&gate](const std::string& request) {
+    gate.Wait();
+    return Echo(request);
+  });
+  auto answer = fixture.Send(fixture.Request("POST", "crash"));
+  gate.WaitForWaiting(1);
+  fixture.upstream.Crash();
+  const UpstreamObserved lost =
+      fixture.reports.WaitFor(UpstreamObserved::State::kLost);
+  const std::uint64_t fingerprint =
+      RequestFingerprint("geodata", "POST", "/geodata/key-1", "crash");
+  REQUIRE(lost.suspect_fingerprints == std::vector<std::uint64_t>{fingerprint});
+  REQUIRE(answer.wait_for(0s) == std::future_status::timeout);
+  fixture.sender->Mark({"geodata", {fingerprint}, {}});
+  REQUIRE(Get(std::move(answer)).error == ErrorKind::kUnknownUpstreamLost);
+  fixture.sender->Mark({"geodata", {}, {fingerprint}});
+  REQUIRE(Get(fixture.Send(fixture.Request("POST", "crash"))).error ==
+          ErrorKind::kNotRunUnreachable);
+  gate.Open();
+}
+
+// Guards against a quarantined request that reaches an upstream.
+TEST_CASE("a quarantined request is refused and a suspect runs alone") {
+  Gate gate;
+  Fixture fixture([&gate](const std::string& request) {
+    gate.Wait();
+    return Echo(request);
+  });
+  const auto fingerprint_of = [](const std::string& body) {
+    return RequestFingerprint("geodata", "POST", "/geodata/key-1", body);
+  };
+  fixture.sender->Mark(
+      {"geodata", {fingerprint_of("suspect")}, {fingerprint_of("bad")}});
+  REQUIRE(Get(fixture.Send(fixture.Request("POST", "bad"))).error ==
+          ErrorKind::kNotRunQuarantined);
+  auto suspect = fixture.Send(fixture.Request("POST", "suspect"));
+  gate.WaitForWaiting(1);
+  auto other = fixture.Send(fixture.Request("POST", "other"));
+  gate.Open();
+  REQUIRE_FALSE(Get(std::move(suspect)).error);
+  REQUIRE_FALSE(Get(std::move(other)).error);
+  REQUIRE(fixture.upstream.max_in_flight() == 1);
+}
+
+// Guards against an upstream that is frozen and keeps its connections open.
+TEST_CASE("an upstream that answers nothing is lost within 0.7 s") {
+  Gate gate;
+  Fixture fixture([&gate](const std::string& request) {
+    gate.Wait();
+    return Echo(request);
+  });
+  // The fake answers probes, so that it stays reachable: silence alone is not
+  // a loss.
+  const auto answer = fixture.Send(fixture.Request());
+  gate.WaitForWaiting(1);
+  while (auto event = fixture.reports.observed.PopFor(600ms))
+    REQUIRE(event->state == UpstreamObserved::State::kReachable);
+  gate.Open();
+}
+
+// Guards against planners without data.
+TEST_CASE("load is reported with the busiest shards") {
+  Fixture fixture;
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+  const auto report = fixture.reports.loads.PopFor(kPatience);
+  REQUIRE(report);
+  REQUIRE(report->from == "here.1");
+  REQUIRE(report->upstreams.size() == 1);
+  REQUIRE(report->upstreams[0].requests_per_second > 0);
+  REQUIRE(report->upstreams[0].shards.size() == 1);
+  REQUIRE(report->upstreams[0].shards[0].shard == 1);
+}
+
+}  // namespace
+}  // namespace pollenrudder
