--- /dev/null
+++ b/fuzz/log_record_fuzz.cc
@@ -0,0 +1,25 @@
+// Fuzz target: log records of any content, decoded and replayed.
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "ownership/log_record.h"
+#include "ownership/ownership_table.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const auto record = pollenrudder::DecodeLogRecord(text);
+  if (!record)
+    return 0;
+  // A record that was read must survive being written again.
+  const std::string encoded = pollenrudder::EncodeLogRecord(record.value());
+  const auto again = pollenrudder::DecodeLogRecord(encoded);
+  if (!again || pollenrudder::EncodeLogRecord(again.value()) != encoded)
+    __builtin_trap();
+  pollenrudder::OwnershipTable table{pollenrudder::LeaseDurations{}};
+  table.Apply(1, text);
+  table.Apply(2, text);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/section_fuzz.cc
@@ -0,0 +1,24 @@
+// Fuzz target: sections and daemon settings of any content.
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "document/daemon_settings.h"
+#include "document/document.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const auto checked = pollenrudder::Document::CheckText(text);
+  pollenrudder::Document document;
+  if (checked.valid()) {
+    document.Replace(checked.section);
+    // A section that was accepted must be accepted again as its own
+    // replacement.
+    if (!document.CheckReplacement(checked.section.team, text).valid())
+      __builtin_trap();
+  }
+  pollenrudder::DaemonSettings::Parse(text);
+  return 0;
+}
