--- a/packages/ownership/control_context.h
+++ b/packages/ownership/control_context.h
@@ -3,6 +3,7 @@
 #ifndef POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
 #define POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -42,7 +43,10 @@
   std::vector<ControllerAction> actions;
   // The newest proof time of a read that completed the table.
   std::optional<BootTime> last_proof;
+  std::uint64_t next_drain_id = 1;
   bool leaving = false;
+  // Sent after the routing table, which may have closed the shards for good.
+  std::vector<ResumeShards> resumes;
   // Set by a part that waits for a read of the log.
   bool read_wanted = false;
 
@@ -50,6 +54,13 @@
   const Document& document() const { return replay.table().document(); }
   const std::string& self() const { return options.instance; }
 
+  // Starts a drain and returns its id.
+  std::uint64_t Drain(DrainShards drain) {
+    drain.drain_id = next_drain_id++;
+    Act(drain);
+    return drain.drain_id;
+  }
+
   void Act(ControllerAction action) { actions.push_back(std::move(action)); }
 
   void Decide(const LogEvent& event, std::vector<LogField> fields) {
@@ -70,7 +81,7 @@
   bool ReadyToAppend() {
     if (!MayChange())
       return false;
-    if (ReadWithin(options.log_lease))
+    if (ReadWithin(options.log_lease / 2))
       return true;
     read_wanted = true;
     return false;
--- a/packages/ownership/controller_action.h
+++ b/packages/ownership/controller_action.h
@@ -55,11 +55,12 @@
 };
 
 // Accept no new request for these shards (all of the upstream if `whole`), wait
-// until none is in flight, then answer DrainFinished with the same shards. On a
+// until none is in flight, then answer DrainFinished with the same id. On a
 // lost upstream the wait ends once run_before has passed since the last send.
-// A drained shard stays closed until a routing table gives it a newer epoch, or
-// until ResumeShards; a longer lease alone doesn't open it.
+// A drained shard stays closed until a routing table gives it a newer epoch, a
+// lease has a newer fence, or ResumeShards; a longer lease doesn't open it.
 struct DrainShards {
+  std::uint64_t drain_id = 0;
   std::string upstream;
   std::vector<std::uint32_t> shards;
   bool whole = false;
--- a/packages/ownership/controller_core.cc
+++ b/packages/ownership/controller_core.cc
@@ -7,6 +7,7 @@
 
 #include "ownership/ownership_events.h"
 #include "ownership/routing_table_builder.h"
+#include "ownership/status_report.h"
 
 namespace pollenrudder {
 
@@ -17,19 +18,37 @@
               [this](const std::string& upstream) {
                 return claimant_.OwnPromiseEnd(upstream);
               }),
-      targets_(context_, [](const std::string&, std::uint32_t) { return 1.0; }),
-      placer_(context_, targets_) {}
+      loads_(context_),
+      targets_(context_,
+               [this](const std::string& service, std::uint32_t shard) {
+                 return loads_.LoadOf(service, shard);
+               }),
+      placer_(context_, targets_),
+      moves_(context_,
+             leases_,
+             targets_,
+             [this](const std::string& upstream) {
+               return handover_.InProgress(upstream);
+             }),
+      handover_(context_, leases_, moves_),
+      checkpoints_(context_) {}
 
 std::vector<ControllerAction> Controller::Core::Handle(
     const ControllerInput& input,
     const Now& now) {
   context_.now = now;
   context_.read_wanted = false;
-  if (std::exchange(snapshot_loaded_, false))
+  if (std::exchange(snapshot_loaded_, false)) {
     OnTableChanged();
+    MarkAllFingerprints();
+  }
   std::visit([this](const auto& event) { On(event); }, input);
   leases_.PublishLeases();
   PublishRoutingTable();
+  for (ResumeShards& resume : context_.resumes)
+    context_.Act(std::move(resume));
+  context_.resumes.clear();
+  FinishLeave();
   ReadLogIfWanted();
   return std::exchange(context_.actions, {});
 }
@@ -45,12 +64,13 @@
   return boost::outcome_v2::success();
 }
 
-std::string Controller::Core::StatusJson(const Now& /*now*/) const {
-  return "{}";
+std::string Controller::Core::StatusJson(const Now& now) const {
+  return ReportStatus(context_, leases_, moves_, targets_, checkpoints_, now);
 }
 
 void Controller::Core::On(const LogRecordsRead& read) {
   log_failing_ = false;
+  first_retained_ = std::max(first_retained_, read.first_retained);
   const bool was_seeking = context_.replay.seeking_checkpoint();
   const LogReplay::Outcome outcome =
       context_.replay.OnLogRead(read, context_.now.boot);
@@ -63,6 +83,7 @@
   if (outcome.loaded_checkpoint) {
     context_.Decide(kCheckpointLoaded,
                     {{"applied", context_.table().applied()}});
+    MarkAllFingerprints();
   }
   for (const AppliedRecord& applied : outcome.records)
     OnRecord(applied);
@@ -105,20 +126,31 @@
 }
 
 void Controller::Core::On(const UpstreamObserved& observed) {
-  targets_.SetLost(observed.upstream,
-                   observed.state == UpstreamObserved::State::kLost);
+  moves_.OnObserved(observed);
 }
 
-void Controller::Core::On(const FingerprintConfirmed& /*confirmed*/) {}
+void Controller::Core::On(const FingerprintConfirmed& confirmed) {
+  moves_.OnConfirmed(confirmed);
+}
 
-void Controller::Core::On(const DrainFinished& /*finished*/) {}
+void Controller::Core::On(const DrainFinished& finished) {
+  moves_.OnDrainFinished(finished);
+  handover_.OnDrainFinished(finished);
+}
 
-void Controller::Core::On(const LoadReported& /*report*/) {}
+void Controller::Core::On(const LoadReported& report) {
+  loads_.OnReported(report, FirstUpstreams());
+}
 
-void Controller::Core::On(const MoveAdvised& /*advice*/) {}
+void Controller::Core::On(const MoveAdvised& advice) {
+  moves_.OnAdvised(advice);
+}
 
 void Controller::Core::On(const LeaveRequested& /*request*/) {
-  context_.leaving = true;
+  if (std::exchange(context_.leaving, true))
+    return;
+  context_.Decide(kLeaveStarted, {{"terms", leases_.LedUpstreams().size()}});
+  handover_.OnTick();
 }
 
 void Controller::Core::On(const Tick& /*tick*/) {
@@ -126,10 +158,25 @@
   UpdateStops();
   claimant_.OnTick(leases_);
   leases_.OnTick();
-  for (const auto& [service, upstream] : FirstUpstreams()) {
-    if (leases_.IsActive(upstream))
-      placer_.OnTick(service);
+  moves_.OnTick();
+  handover_.OnTick();
+  RunLeaderDuties();
+}
+
+void Controller::Core::RunLeaderDuties() {
+  const std::map<std::string, std::string> first = FirstUpstreams();
+  for (const auto& [service, upstream] : first) {
+    if (!leases_.IsActive(upstream) || !context_.MayChange())
+      continue;
+    placer_.OnTick(service);
+    if (!routing_ || !routing_->FindService(service))
+      continue;
+    for (const MoveAdvised& advice : loads_.OnTick(service, *routing_))
+      moves_.OnAdvised(advice);
   }
+  const auto& terms = context_.table().state().terms;
+  if (!terms.empty() && leases_.IsActive(terms.begin()->first))
+    checkpoints_.OnTick(first_retained_);
 }
 
 std::map<std::string, std::string> Controller::Core::FirstUpstreams() const {
@@ -140,6 +187,24 @@
 }
 
 void Controller::Core::OnRecord(const AppliedRecord& applied) {
+  LogOutcome(applied);
+  if (!applied.record)
+    return;
+  const LogRecord& record = *applied.record;
+  if (const auto* move = std::get_if<MoveRecord>(&record.body)) {
+    Mark(move->service, move->suspects, {}, move->suspects_until);
+  } else if (const auto* mark = std::get_if<QuarantineRecord>(&record.body)) {
+    Mark(mark->service, {}, {mark->fingerprint}, mark->until);
+  } else if (const auto* part = std::get_if<CheckpointRecord>(&record.body)) {
+    checkpoints_.OnCheckpointRead(applied.offset, *part);
+  }
+  if (record.by != context_.self())
+    return;
+  context_.appender.OnRecordRead(record.id);
+  claimant_.OnOwnRecord(record);
+}
+
+void Controller::Core::LogOutcome(const AppliedRecord& applied) {
   using Effect = AppliedRecord::Effect;
   if (!applied.record) {
     context_.Decide(applied.effect == Effect::kUnsupported ? kRecordUnsupported
@@ -160,16 +225,42 @@
                                      {"record", record.id},
                                      {"reason", applied.reason}});
   }
-  if (record.by != context_.self())
+}
+
+void Controller::Core::MarkAllFingerprints() {
+  const TableState& state = context_.table().state();
+  for (const FingerprintMark& mark : state.suspects)
+    Mark(mark.service, {mark.fingerprint}, {}, mark.until);
+  for (const FingerprintMark& mark : state.quarantined)
+    Mark(mark.service, {}, {mark.fingerprint}, mark.until);
+}
+
+void Controller::Core::Mark(const std::string& service,
+                            const std::vector<std::uint64_t>& suspects,
+                            const std::vector<std::uint64_t>& quarantined,
+                            WallTime until) {
+  if (until <= context_.now.wall || (suspects.empty() && quarantined.empty()))
     return;
-  context_.appender.OnRecordRead(record.id);
-  claimant_.OnOwnRecord(record);
+  context_.Act(MarkFingerprints{service, suspects, quarantined});
+}
+
+void Controller::Core::FinishLeave() {
+  if (!context_.leaving || leave_finished_ ||
+      !handover_.IsEverythingHandedOver()) {
+    return;
+  }
+  leave_finished_ = true;
+  context_.Decide(kLeaveCompleted,
+                  {{"terms_left", leases_.LedUpstreams().size()}});
+  context_.Act(LeaveFinished{});
 }
 
 void Controller::Core::OnTableChanged() {
   claimant_.OnTableChanged();
   leases_.OnTableChanged();
   UpdateStops();
+  handover_.OnTableChanged();
+  moves_.OnTableChanged();
   routing_outdated_ = true;
 }
 
@@ -186,8 +277,8 @@
 void Controller::Core::PublishRoutingTable() {
   if (!std::exchange(routing_outdated_, false))
     return;
-  context_.Act(pollenrudder::PublishRoutingTable{
-      BuildRoutingTable(context_.table(), context_.stops)});
+  routing_ = BuildRoutingTable(context_.table(), context_.stops);
+  context_.Act(pollenrudder::PublishRoutingTable{routing_});
 }
 
 void Controller::Core::ReadLogIfWanted() {
--- a/packages/ownership/controller_core.h
+++ b/packages/ownership/controller_core.h
@@ -9,12 +9,16 @@
 #include <vector>
 
 #include "base/boot_clock.h"
+#include "ownership/checkpoint_writer.h"
 #include "ownership/claimant.h"
 #include "ownership/control_context.h"
 #include "ownership/controller.h"
 #include "ownership/lease_keeper.h"
+#include "ownership/load_planner.h"
+#include "ownership/move_manager.h"
 #include "ownership/shard_placer.h"
 #include "ownership/target_chooser.h"
+#include "ownership/term_handover.h"
 
 namespace pollenrudder {
 
@@ -53,7 +57,18 @@
 
   // Logs the outcome of a record and resolves it if it is an own one.
   void OnRecord(const AppliedRecord& applied);
+  void LogOutcome(const AppliedRecord& applied);
   void OnTableChanged();
+  // Runs the duties of the planner of each service, and of the checkpoint
+  // writer, as far as this instance has them.
+  void RunLeaderDuties();
+  // Marks every fingerprint of the table, after it was replaced as a whole.
+  void MarkAllFingerprints();
+  void Mark(const std::string& service,
+            const std::vector<std::uint64_t>& suspects,
+            const std::vector<std::uint64_t>& quarantined,
+            WallTime until);
+  void FinishLeave();
   // By service: its first upstream by name, whose leader plans the service.
   std::map<std::string, std::string> FirstUpstreams() const;
   void UpdateStops();
@@ -63,14 +78,21 @@
   ControlContext context_;
   Claimant claimant_;
   LeaseKeeper leases_;
+  LoadPlanner loads_;
   TargetChooser targets_;
   ShardPlacer placer_;
+  MoveManager moves_;
+  TermHandover handover_;
+  CheckpointWriter checkpoints_;
 
   // Whether the routing table has to be built again.
   bool routing_outdated_ = true;
   // Whether a snapshot was loaded since the last input.
   bool snapshot_loaded_ = false;
   bool read_again_ = false;
+  bool leave_finished_ = false;
+  LogOffset first_retained_ = kNoOffset;
+  RoutingTablePointer routing_;
   bool log_failing_ = false;
   std::optional<BootTime> last_read_sent_;
 };
--- a/packages/ownership/controller_fixture_test.cc
+++ b/packages/ownership/controller_fixture_test.cc
@@ -354,7 +354,7 @@
       drained[Instance::kWhole] = epoch;
     for (const std::uint32_t shard : drain->shards)
       drained[shard] = epoch;
-    const DrainFinished finished{drain->upstream, drain->shards, drain->whole};
+    const DrainFinished finished{drain->drain_id, drain->upstream};
     if (!blocked_drains_.contains(drain->upstream))
       At(2 * kOneWay, [this, name, finished] { Handle(name, finished); });
   } else if (const auto* report = std::get_if<SendLoadReport>(&action)) {
@@ -531,8 +531,9 @@
         continue;
       const auto [entry, added] = senders.try_emplace(upstream, name);
       if (!added) {
-        violations_.push_back("two senders of " + upstream + ": " +
-                              entry->second + ", " + name);
+        std::string violation = "two senders of " + upstream;
+        violation.append(": ").append(entry->second).append(", ").append(name);
+        violations_.push_back(std::move(violation));
       }
     }
     if (!instance->routing)
--- a/packages/ownership/controller_input.h
+++ b/packages/ownership/controller_input.h
@@ -95,13 +95,12 @@
   std::uint64_t fingerprint = 0;
 };
 
-// The answer to DrainShards: no request of these shards is in flight, and none
-// starts until they are open again. `shards` and `whole` are those of the
-// DrainShards action.
+// The answer to DrainShards: no request of its shards is in flight, and none
+// starts until they are open again. The id tells it from the answer to a drain
+// that was given up.
 struct DrainFinished {
+  std::uint64_t drain_id = 0;
   std::string upstream;
-  std::vector<std::uint32_t> shards;
-  bool whole = false;
 };
 
 // Load of one upstream in a report interval.
--- a/packages/ownership/lease_keeper.cc
+++ b/packages/ownership/lease_keeper.cc
@@ -249,6 +249,8 @@
                                   {"term", entry.previous},
                                   {"voters", JoinVoters(entry.voters)}});
   }
+  // The shorter lease is in force before the record can be.
+  PublishLeases();
   const std::string id = context_.Append(std::move(record));
   for (Led* led : revised)
     led->revise_record = id;
--- /dev/null
+++ b/packages/ownership/move_manager.cc
@@ -0,0 +1,353 @@
+// Drains, move records and quarantines.
+
+#include "ownership/move_manager.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "ownership/ownership_events.h"
+
+namespace pollenrudder {
+namespace {
+
+std::string_view StateName(UpstreamObserved::State state) {
+  switch (state) {
+    case UpstreamObserved::State::kReachable:
+      return "reachable";
+    case UpstreamObserved::State::kSuspect:
+      return "suspect";
+    case UpstreamObserved::State::kLost:
+      return "lost";
+  }
+  return "reachable";
+}
+
+}  // namespace
+
+MoveManager::MoveManager(ControlContext& context,
+                         const LeaseKeeper& leases,
+                         TargetChooser& targets,
+                         HandoverInProgress handover_in_progress)
+    : context_(context),
+      leases_(leases),
+      targets_(targets),
+      handover_in_progress_(std::move(handover_in_progress)) {}
+
+void MoveManager::OnTableChanged() {
+  // The next leader goes on from the log. Its term ends the drains here.
+  std::erase_if(upstreams_, [this](const auto& entry) {
+    return !leases_.Find(entry.first);
+  });
+  std::erase_if(quarantines_, [this](const auto& entry) {
+    return !context_.appender.pending(entry.second);
+  });
+  for (auto& [name, upstream] : upstreams_)
+    Advance(name, upstream);
+}
+
+void MoveManager::OnObserved(const UpstreamObserved& observed) {
+  const bool lost = observed.state == UpstreamObserved::State::kLost;
+  targets_.SetLost(observed.upstream, lost);
+  context_.Decide(kUpstreamState, {{"upstream", observed.upstream},
+                                   {"state", StateName(observed.state)}});
+  if (!leases_.Find(observed.upstream))
+    return;
+  Upstream& upstream = upstreams_[observed.upstream];
+  if (lost) {
+    upstream.suspects.insert(upstream.suspects.end(),
+                             observed.suspect_fingerprints.begin(),
+                             observed.suspect_fingerprints.end());
+  }
+  Advance(observed.upstream, upstream);
+}
+
+void MoveManager::OnDrainFinished(const DrainFinished& finished) {
+  const auto found = upstreams_.find(finished.upstream);
+  if (found == upstreams_.end())
+    return;
+  Upstream& upstream = found->second;
+  if (upstream.whole == WholeDrain::kStarted &&
+      upstream.drain_id == finished.drain_id) {
+    upstream.whole = WholeDrain::kFinished;
+  }
+  for (Batch& batch : upstream.batches)
+    batch.drained = batch.drained || batch.drain_id == finished.drain_id;
+  Advance(finished.upstream, upstream);
+}
+
+void MoveManager::OnAdvised(const MoveAdvised& advice) {
+  const TermState* source = context_.table().FindTerm(advice.upstream);
+  const TermState* target = context_.table().FindTerm(advice.target);
+  if (!source || !target || source->service != target->service ||
+      advice.upstream == advice.target || !targets_.Accepts(advice.target) ||
+      targets_.IsLost(advice.upstream) || IsStopping(advice.upstream) ||
+      !source->active || !leases_.IsActive(advice.upstream) ||
+      handover_in_progress_(advice.upstream) || !context_.ReadyToAppend()) {
+    return;
+  }
+  Upstream& upstream = upstreams_[advice.upstream];
+  const std::vector<std::uint32_t> free = FreeShards(advice.upstream, upstream);
+  std::vector<std::uint32_t> wanted = advice.shards;
+  std::sort(wanted.begin(), wanted.end());
+  wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
+  Batch batch;
+  batch.target = advice.target;
+  std::set_intersection(free.begin(), free.end(), wanted.begin(), wanted.end(),
+                        std::back_inserter(batch.shards));
+  if (!batch.shards.empty())
+    StartBatch(advice.upstream, upstream, std::move(batch));
+}
+
+void MoveManager::OnConfirmed(const FingerprintConfirmed& confirmed) {
+  const std::pair key(confirmed.service, confirmed.fingerprint);
+  if (quarantines_.contains(key) || !context_.MayChange())
+    return;
+  const WallTime until =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(
+          context_.now.wall + kMarkLifetime);
+  quarantines_[key] = context_.Append(
+      QuarantineRecord{confirmed.service, confirmed.fingerprint, until});
+  context_.Decide(kQuarantineSent, {{"service", confirmed.service},
+                                    {"fingerprint", confirmed.fingerprint}});
+}
+
+void MoveManager::OnHandoverGivenUp(const std::string& upstream) {
+  const auto found = upstreams_.find(upstream);
+  if (found != upstreams_.end())
+    found->second.whole = WholeDrain::kNone;
+}
+
+void MoveManager::OnTick() {
+  for (const std::string& name : leases_.LedUpstreams()) {
+    const bool concerned = IsStopping(name) || targets_.IsLost(name);
+    if (concerned || upstreams_.contains(name))
+      Advance(name, upstreams_[name]);
+  }
+}
+
+bool MoveManager::IsMoving(const std::string& upstream) const {
+  const auto found = upstreams_.find(upstream);
+  return found != upstreams_.end() &&
+         (!found->second.batches.empty() ||
+          found->second.whole == WholeDrain::kStarted ||
+          context_.appender.pending(found->second.lost_record));
+}
+
+std::size_t MoveManager::MovingShards(const std::string& upstream) const {
+  const auto found = upstreams_.find(upstream);
+  if (found == upstreams_.end())
+    return 0;
+  if (found->second.whole != WholeDrain::kNone)
+    return context_.table().ShardsOf(upstream).size();
+  std::size_t shards = 0;
+  for (const Batch& batch : found->second.batches)
+    shards += batch.shards.size();
+  return shards;
+}
+
+void MoveManager::Advance(const std::string& name, Upstream& upstream) {
+  // A move before the `active` record would be ignored, since the earlier
+  // leader may still be sending.
+  const TermState* term = context_.table().FindTerm(name);
+  if (!term || !term->active || !context_.MayChange())
+    return;
+  if (targets_.IsLost(name))
+    AdvanceLost(name, upstream);
+  else
+    EndLost(name, upstream);
+  AdvanceBatches(name, upstream);
+}
+
+void MoveManager::AdvanceLost(const std::string& name, Upstream& upstream) {
+  if (handover_in_progress_(name) ||
+      context_.appender.pending(upstream.lost_record)) {
+    return;
+  }
+  const std::vector<std::uint32_t> shards = context_.table().ShardsOf(name);
+  if (!shards.empty() && upstream.whole == WholeDrain::kNone) {
+    upstream.whole = WholeDrain::kStarted;
+    upstream.drain_id = context_.Drain({0, name, {}, true, true});
+    context_.Decide(kDrainStarted, {{"upstream", name},
+                                    {"shards", shards.size()},
+                                    {"cause", "upstream_lost"}});
+  }
+  if (upstream.whole == WholeDrain::kStarted)
+    return;
+  std::vector<ShardMove> moves = PlanMoves(name, shards, {});
+  if (!shards.empty() && moves.empty())
+    LogNoTarget(name, upstream);
+  if (moves.empty() && upstream.suspects.empty())
+    return;
+  upstream.no_target_logged = false;
+  upstream.lost_record =
+      SendMove(name, std::move(moves), std::exchange(upstream.suspects, {}),
+               "upstream_lost");
+}
+
+void MoveManager::EndLost(const std::string& name, Upstream& upstream) {
+  // While the record is unresolved, the shards may have other owners.
+  if (upstream.whole == WholeDrain::kNone || handover_in_progress_(name) ||
+      context_.appender.pending(upstream.lost_record)) {
+    return;
+  }
+  upstream.whole = WholeDrain::kNone;
+  context_.resumes.push_back({name, {}, true});
+}
+
+void MoveManager::AdvanceBatches(const std::string& name, Upstream& upstream) {
+  if (!targets_.IsLost(name) && IsStopping(name))
+    StartStopBatches(name, upstream);
+  std::erase_if(upstream.batches, [&](Batch& batch) {
+    return !AdvanceBatch(name, upstream, batch);
+  });
+}
+
+bool MoveManager::AdvanceBatch(const std::string& name,
+                               Upstream& upstream,
+                               Batch& batch) {
+  if (context_.appender.pending(batch.record))
+    return true;
+  if (targets_.IsLost(name)) {
+    // The drain of the whole upstream takes over.
+    Resume(name, batch.shards);
+    return false;
+  }
+  const bool advised = !batch.target.empty();
+  const std::vector<std::uint32_t> owned = context_.table().ShardsOf(name);
+  const bool any_left = std::any_of(
+      batch.shards.begin(), batch.shards.end(), [&](std::uint32_t shard) {
+        return std::binary_search(owned.begin(), owned.end(), shard);
+      });
+  if (!any_left)
+    return false;
+  const bool too_slow =
+      !batch.drained &&
+      context_.now.boot >= batch.started_at + kAdvisedDrainLimit;
+  const bool wanted = advised ? batch.record.empty() && !too_slow &&
+                                    targets_.Accepts(batch.target)
+                              : IsStopping(name);
+  if (!wanted) {
+    context_.Decide(kMoveGivenUp,
+                    {{"upstream", name}, {"shards", batch.shards.size()}});
+    Resume(name, batch.shards);
+    return false;
+  }
+  if (!batch.drained)
+    return true;
+  std::vector<ShardMove> moves = PlanMoves(name, batch.shards, batch.target);
+  if (moves.empty())
+    LogNoTarget(name, upstream);
+  else
+    batch.record = SendMove(name, std::move(moves), {},
+                            advised ? "advised" : "upstream_stopping");
+  return true;
+}
+
+void MoveManager::StartStopBatches(const std::string& name,
+                                   Upstream& upstream) {
+  if (handover_in_progress_(name) || !leases_.IsActive(name))
+    return;
+  const std::vector<std::uint32_t> shards = FreeShards(name, upstream);
+  if (shards.empty() || !context_.ReadyToAppend())
+    return;
+  // Shards without a target go on being served here.
+  if (PlanMoves(name, shards, {}).empty()) {
+    LogNoTarget(name, upstream);
+    return;
+  }
+  const std::size_t size = (shards.size() + kStopBatches - 1) / kStopBatches;
+  for (std::size_t begin = 0; begin < shards.size(); begin += size) {
+    const std::size_t end = std::min(begin + size, shards.size());
+    Batch batch;
+    batch.shards.assign(shards.begin() + static_cast<std::ptrdiff_t>(begin),
+                        shards.begin() + static_cast<std::ptrdiff_t>(end));
+    StartBatch(name, upstream, std::move(batch));
+  }
+}
+
+void MoveManager::StartBatch(const std::string& name,
+                             Upstream& upstream,
+                             Batch batch) {
+  context_.Decide(
+      kDrainStarted,
+      {{"upstream", name},
+       {"shards", batch.shards.size()},
+       {"cause", batch.target.empty() ? "upstream_stopping" : "advised"}});
+  batch.started_at = context_.now.boot;
+  batch.drain_id = context_.Drain({0, name, batch.shards, false, false});
+  upstream.batches.push_back(std::move(batch));
+}
+
+void MoveManager::Resume(const std::string& name,
+                         const std::vector<std::uint32_t>& shards) {
+  context_.resumes.push_back({name, shards, false});
+}
+
+std::vector<ShardMove> MoveManager::PlanMoves(
+    const std::string& name,
+    const std::vector<std::uint32_t>& shards,
+    const std::string& target) const {
+  std::vector<ShardMove> moves;
+  const TermState* term = context_.table().FindTerm(name);
+  const std::vector<ShardState>* states =
+      term ? context_.table().FindShards(term->service) : nullptr;
+  if (!states)
+    return moves;
+  std::map<std::uint32_t, std::string> chosen;
+  if (target.empty())
+    chosen = targets_.Choose(term->service, name);
+  for (const std::uint32_t shard : shards) {
+    if ((*states)[shard].upstream != name)
+      continue;
+    const auto found = chosen.find(shard);
+    const std::string& to = found == chosen.end() ? target : found->second;
+    if (!to.empty())
+      moves.push_back({shard, (*states)[shard].placed, to});
+  }
+  return moves;
+}
+
+std::string MoveManager::SendMove(const std::string& name,
+                                  std::vector<ShardMove> moves,
+                                  std::vector<std::uint64_t> suspects,
+                                  const char* cause) {
+  const TermState* term = context_.table().FindTerm(name);
+  context_.Decide(kMoveSent, {{"upstream", name},
+                              {"term", term->term},
+                              {"shards", moves.size()},
+                              {"suspects", suspects.size()},
+                              {"cause", cause}});
+  const WallTime until =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(
+          context_.now.wall + kMarkLifetime);
+  return context_.Append(MoveRecord{name, term->term, term->service,
+                                    std::move(moves), std::move(suspects),
+                                    until});
+}
+
+void MoveManager::LogNoTarget(const std::string& name, Upstream& upstream) {
+  if (std::exchange(upstream.no_target_logged, true))
+    return;
+  context_.Decide(kNoTarget, {{"upstream", name}});
+}
+
+bool MoveManager::IsStopping(const std::string& name) const {
+  return context_.stops.IsUpstreamStopping(name);
+}
+
+std::vector<std::uint32_t> MoveManager::FreeShards(
+    const std::string& name,
+    const Upstream& upstream) const {
+  std::vector<std::uint32_t> moving;
+  for (const Batch& batch : upstream.batches)
+    moving.insert(moving.end(), batch.shards.begin(), batch.shards.end());
+  std::sort(moving.begin(), moving.end());
+  const std::vector<std::uint32_t> owned = context_.table().ShardsOf(name);
+  std::vector<std::uint32_t> free;
+  std::set_difference(owned.begin(), owned.end(), moving.begin(), moving.end(),
+                      std::back_inserter(free));
+  return free;
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/ownership/status_report.h
@@ -0,0 +1,28 @@
+// The state of a Controller as JSON, for operators.
+
+#ifndef POLLENRUDDER_OWNERSHIP_STATUS_REPORT_H_
+#define POLLENRUDDER_OWNERSHIP_STATUS_REPORT_H_
+
+#include <string>
+
+#include "ownership/checkpoint_writer.h"
+#include "ownership/control_context.h"
+#include "ownership/lease_keeper.h"
+#include "ownership/move_manager.h"
+#include "ownership/target_chooser.h"
+
+namespace pollenrudder {
+
+// Returns an object with the instance, the state of the log, the version of
+// each section, every upstream with its term, lease, shards and moves, and the
+// number of shards without an owner per service.
+std::string ReportStatus(const ControlContext& context,
+                         const LeaseKeeper& leases,
+                         const MoveManager& moves,
+                         const TargetChooser& targets,
+                         const CheckpointWriter& checkpoints,
+                         const Now& now);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OWNERSHIP_STATUS_REPORT_H_
--- /dev/null
+++ b/packages/ownership/term_handover.cc
@@ -0,0 +1,290 @@
+// Handovers and retirements.
+
+#include "ownership/term_handover.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+#include "ownership/ownership_events.h"
+#include "ownership/term_rules.h"
+
+namespace pollenrudder {
+
+TermHandover::TermHandover(ControlContext& context,
+                           LeaseKeeper& leases,
+                           MoveManager& moves)
+    : context_(context), leases_(leases), moves_(moves) {}
+
+void TermHandover::OnTableChanged() {
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    const bool keep = Resolve(entry->first, entry->second);
+    entry = keep ? std::next(entry) : pending_.erase(entry);
+  }
+  std::erase_if(promised_, [this](const auto& entry) {
+    return !pending_.contains(entry.first);
+  });
+  std::erase_if(retry_at_, [this](const auto& entry) {
+    return !leases_.Find(entry.first);
+  });
+}
+
+void TermHandover::OnDrainFinished(const DrainFinished& finished) {
+  const auto found = pending_.find(finished.upstream);
+  if (found == pending_.end() || found->second.drain_id != finished.drain_id)
+    return;
+  found->second.drained = true;
+  if (!Advance(finished.upstream, found->second))
+    pending_.erase(found);
+}
+
+void TermHandover::OnTick() {
+  if (!context_.MayChange())
+    return;
+  for (const std::string& upstream : leases_.LedUpstreams()) {
+    if (pending_.contains(upstream))
+      continue;
+    const std::optional<Cause> cause = FindCause(upstream);
+    if (cause && context_.ReadyToAppend())
+      Start(upstream, *cause);
+  }
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    const bool keep = Advance(entry->first, entry->second);
+    entry = keep ? std::next(entry) : pending_.erase(entry);
+  }
+}
+
+bool TermHandover::InProgress(const std::string& upstream) const {
+  return pending_.contains(upstream);
+}
+
+bool TermHandover::IsEverythingHandedOver() const {
+  const std::vector<std::string> led = leases_.LedUpstreams();
+  return std::all_of(
+      led.begin(), led.end(), [this](const std::string& upstream) {
+        const auto found = pending_.find(upstream);
+        return found != pending_.end() && found->second.drained &&
+               found->second.record.empty() &&
+               !ChooseTarget(upstream, Cause::kLeave);
+      });
+}
+
+std::optional<TermHandover::Cause> TermHandover::FindCause(
+    const std::string& upstream) const {
+  const TermState* term = context_.table().FindTerm(upstream);
+  const LeaderLease* lease = leases_.Find(upstream);
+  if (!term || !lease || !term->active || lease->revising() ||
+      lease->handing_over() || !lease->active(context_.now.boot) ||
+      moves_.IsMoving(upstream)) {
+    return std::nullopt;
+  }
+  if (context_.GivesUpLeadership()) {
+    // A planned stop ends, so it needs somebody to take the term meanwhile.
+    if (context_.leaving || ChooseTarget(upstream, Cause::kLeave))
+      return Cause::kLeave;
+    return std::nullopt;
+  }
+  const auto retry_at = retry_at_.find(upstream);
+  if (retry_at != retry_at_.end() && context_.now.boot < retry_at->second)
+    return std::nullopt;
+  if (context_.directory.MissingFor(upstream, context_.now.boot) >=
+          kRetireAfter &&
+      context_.table().ShardsOf(upstream).empty()) {
+    return Cause::kRetire;
+  }
+  if (term->zone != context_.options.zone &&
+      ChooseTarget(upstream, Cause::kReturn)) {
+    return Cause::kReturn;
+  }
+  if (IsUnbalanced(upstream))
+    return Cause::kBalance;
+  return std::nullopt;
+}
+
+void TermHandover::Start(const std::string& upstream, Cause cause) {
+  const ListedInstance* target = ChooseTarget(upstream, cause);
+  if (target)
+    promised_[upstream] = target->name;
+  if (cause == Cause::kBalance)
+    last_balance_ = context_.now.boot;
+  Pending pending;
+  pending.cause = cause;
+  pending.leader_since = leases_.Find(upstream)->term().leader_since;
+  pending.started_at = context_.now.boot;
+  pending.drain_id = context_.Drain({0, upstream, {}, true, false});
+  context_.Decide(kDrainStarted,
+                  {{"upstream", upstream},
+                   {"cause", cause == Cause::kRetire ? "retire" : "handover"}});
+  pending_[upstream] = std::move(pending);
+}
+
+bool TermHandover::Advance(const std::string& upstream, Pending& pending) {
+  const bool urgent = pending.cause == Cause::kLeave;
+  if (!pending.drained && !urgent &&
+      context_.now.boot >= pending.started_at + kDrainLimit) {
+    retry_at_[upstream] = context_.now.boot + kRetryInterval;
+    GiveUp(upstream);
+    return false;
+  }
+  if (!pending.drained || !context_.MayChange())
+    return true;
+  if (!pending.record.empty()) {
+    Abandon(upstream, pending);
+    return true;
+  }
+  const bool has_target = pending.cause == Cause::kRetire ||
+                          ChooseTarget(upstream, pending.cause) != nullptr;
+  if (!has_target && !context_.leaving) {
+    GiveUp(upstream);
+    return false;
+  }
+  if (has_target)
+    Send(upstream, pending);
+  return true;
+}
+
+void TermHandover::Send(const std::string& upstream, Pending& pending) {
+  LeaderLease* lease = leases_.Find(upstream);
+  // Only an active leader hands over: an earlier one may still be sending.
+  if (!lease || lease->revising() || !lease->active(context_.now.boot) ||
+      !context_.ReadyToAppend()) {
+    return;
+  }
+  const TermState& term = lease->term();
+  LogRecordBody body = RetireRecord{upstream, term.term};
+  if (pending.cause != Cause::kRetire) {
+    const ListedInstance* target = ChooseTarget(upstream, pending.cause);
+    promised_[upstream] = target->name;
+    TermEntry entry = EntryFromTerm(term, TermKind::kHandover);
+    entry.leader = target->name;
+    entry.leader_zone = target->zone;
+    entry.leader_forward_address = target->address;
+    entry.leader_peer_address = target->peer_address;
+    entry.voters = leases_.ChooseVoters(target->name, target->zone,
+                                        target->region, term.voters, {});
+    context_.Decide(
+        kHandoverSent,
+        {{"upstream", upstream}, {"term", term.term}, {"to", target->name}});
+    body = TermRecord{{std::move(entry)}};
+  } else {
+    context_.Decide(kRetireSent, {{"upstream", upstream}, {"term", term.term}});
+  }
+  // The lease ends before the record can take effect.
+  lease->BeginHandover();
+  leases_.PublishLeases();
+  pending.record = context_.Append(std::move(body));
+  pending.sent_at = context_.now.boot;
+}
+
+void TermHandover::Abandon(const std::string& upstream, Pending& pending) {
+  // An abandon holds for `term` records only. A retirement that is unresolved
+  // is sent until it is read; the upstream is gone anyway.
+  if (pending.cause == Cause::kRetire || !pending.abandon.empty() ||
+      !context_.appender.pending(pending.record) ||
+      context_.now.boot < pending.sent_at + kAbandonAfter) {
+    return;
+  }
+  context_.Decide(kAbandonSent,
+                  {{"upstream", upstream}, {"record", pending.record}});
+  context_.appender.Withdraw(pending.record);
+  pending.abandon = context_.Append(AbandonRecord{pending.record});
+}
+
+bool TermHandover::Resolve(const std::string& upstream,
+                           const Pending& pending) {
+  const LeaderLease* lease = leases_.Find(upstream);
+  if (!lease || lease->term().leader_since != pending.leader_since)
+    return false;
+  if (pending.record.empty())
+    return true;
+  const std::string& outcome =
+      pending.abandon.empty() ? pending.record : pending.abandon;
+  if (context_.appender.pending(outcome))
+    return true;
+  GiveUp(upstream);
+  return false;
+}
+
+void TermHandover::GiveUp(const std::string& upstream) {
+  leases_.Find(upstream)->AbandonHandover();
+  context_.resumes.push_back({upstream, {}, true});
+  moves_.OnHandoverGivenUp(upstream);
+  context_.Decide(kHandoverGivenUp, {{"upstream", upstream}});
+}
+
+const ListedInstance* TermHandover::ChooseTarget(const std::string& upstream,
+                                                 Cause cause) const {
+  const TermState* term = context_.table().FindTerm(upstream);
+  if (!term || cause == Cause::kRetire)
+    return nullptr;
+  if (cause != Cause::kLeave)
+    return LeastLoaded(term->service, term->zone, kStable);
+  for (const std::string& zone : {term->zone, context_.options.zone}) {
+    if (const ListedInstance* target =
+            LeastLoaded(term->service, zone, std::chrono::nanoseconds(0))) {
+      return target;
+    }
+  }
+  return LeastLoaded(term->service, {}, std::chrono::nanoseconds(0));
+}
+
+const ListedInstance* TermHandover::LeastLoaded(
+    const std::string& service,
+    const std::string& zone,
+    std::chrono::nanoseconds listed_for) const {
+  const ListedInstance* least = nullptr;
+  std::size_t least_terms = 0;
+  for (const ListedInstance& entry : context_.directory.instances()) {
+    if (entry.kind != ListedInstance::Kind::kEntry ||
+        entry.name == context_.self() ||
+        (!zone.empty() && entry.zone != zone) ||
+        context_.directory.ListedFor(entry.name, context_.now.boot) <
+            listed_for ||
+        StopSchedule::IsInstanceStopping(context_.document(),
+                                         context_.directory, entry.name,
+                                         context_.now.wall) ||
+        IsDeclaredLost(context_.document(), service, entry.name, entry.zone)) {
+      continue;
+    }
+    const std::size_t terms = TermsOf(entry.name);
+    if (!least || terms < least_terms) {
+      least = &entry;
+      least_terms = terms;
+    }
+  }
+  return least;
+}
+
+std::size_t TermHandover::TermsOf(const std::string& instance) const {
+  std::size_t terms = 0;
+  for (const auto& [upstream, term] : context_.table().state().terms) {
+    const auto promised = promised_.find(upstream);
+    const std::string& leader =
+        promised == promised_.end() ? term.leader : promised->second;
+    if (leader == instance)
+      ++terms;
+  }
+  return terms;
+}
+
+bool TermHandover::IsUnbalanced(const std::string& upstream) const {
+  if (last_balance_ && context_.now.boot < *last_balance_ + kBalanceInterval) {
+    return false;
+  }
+  const ListedInstance* least = ChooseTarget(upstream, Cause::kBalance);
+  const std::size_t own = TermsOf(context_.self());
+  if (!least || own < TermsOf(least->name) + kBalanceDifference)
+    return false;
+  // Only the instance with the most terms hands over, so that two don't give
+  // to the same one at the same time.
+  for (const ListedInstance& entry :
+       context_.directory.LiveEntries(context_.options.zone)) {
+    const std::size_t terms = TermsOf(entry.name);
+    if (terms > own || (terms == own && entry.name < context_.self()))
+      return false;
+  }
+  return true;
+}
+
+}  // namespace pollenrudder
