--- /dev/null
+++ b/apps/pollenrudderd/command_line.cc
@@ -0,0 +1,65 @@
+// The command line of pollenrudderd.
+
+#include "pollenrudderd/command_line.h"
+
+#include <getopt.h>
+
+#include <array>
+
+namespace pollenrudder {
+
+std::string_view CommandLine::HelpText() {
+  return "usage: pollenrudderd --settings FILE [--check]\n"
+         "\n"
+         "Routes HTTP requests to the upstreams that own their keys.\n"
+         "\n"
+         "  -s, --settings FILE  the settings file (YAML)\n"
+         "  -c, --check          check the settings and exit\n"
+         "  -h, --help           print this text and exit\n"
+         "  -V, --version        print the version and exit\n"
+         "\n"
+         "SIGTERM or SIGINT starts a planned leave; a second one ends the\n"
+         "daemon at once. Exit codes: 0 ok, 1 failure, 2 usage.\n";
+}
+
+Result<CommandLine> CommandLine::Parse(int argument_count, char** arguments) {
+  static constexpr std::array<option, 5> kOptions = {{
+      {"settings", required_argument, nullptr, 's'},
+      {"check", no_argument, nullptr, 'c'},
+      {"help", no_argument, nullptr, 'h'},
+      {"version", no_argument, nullptr, 'V'},
+      {nullptr, 0, nullptr, 0},
+  }};
+  CommandLine line;
+  optind = 1;
+  int letter = 0;
+  while ((letter = getopt_long(argument_count, arguments, "s:chV",
+                               kOptions.data(), nullptr)) != -1) {
+    switch (letter) {
+      case 's':
+        line.settings_path = optarg;
+        break;
+      case 'c':
+        line.mode = Mode::kCheck;
+        break;
+      case 'h':
+        line.mode = Mode::kHelp;
+        return line;
+      case 'V':
+        line.mode = Mode::kVersion;
+        return line;
+      default:
+        return MakeError(ErrorKind::kInvalidSettings, "unknown option");
+    }
+  }
+  if (optind < argument_count) {
+    return MakeError(
+        ErrorKind::kInvalidSettings,
+        "unexpected argument \"" + std::string(arguments[optind]) + "\"");
+  }
+  if (line.settings_path.empty())
+    return MakeError(ErrorKind::kInvalidSettings, "--settings is required");
+  return line;
+}
+
+}  // namespace pollenrudder
