Add the stand-ins and the process driver

Process tests need the platform, upstreams and the links between regions as processes that can be disturbed. One binary plays all four, each listener is one source that can be cut off or slowed. Before: nothing to run against.

--- /dev/null
+++ b/standins/execution.h
@@ -0,0 +1,25 @@
+// One execution of a request by an upstream stand-in.
+
+#ifndef POLLENRUDDER_STANDINS_EXECUTION_H_
+#define POLLENRUDDER_STANDINS_EXECUTION_H_
+
+#include <cstdint>
+#include <string>
+
+namespace pollenrudder {
+
+// One line of the journal: what the driver needs to check that a request ran
+// at most once and under the newest epoch.
+struct Execution {
+  // The `tag` query parameter, unique per request of the driver.
+  std::string tag;
+  std::string request_id;
+  std::string shard;
+  std::uint64_t fence = 0;
+  // Milliseconds on the boot clock.
+  std::int64_t started = 0;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_STANDINS_EXECUTION_H_
--- /dev/null
+++ b/standins/http_service.h
@@ -0,0 +1,107 @@
+// What all stand-ins that speak HTTP have in common.
+
+#ifndef POLLENRUDDER_STANDINS_HTTP_SERVICE_H_
+#define POLLENRUDDER_STANDINS_HTTP_SERVICE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/json/object.hpp>
+
+#include "standins/standin_options.h"
+
+namespace pollenrudder {
+
+// Serves HTTP on one thread. Requests to /standin/... come from the driver of
+// a test and are never disturbed; all others suffer the disturbances in force:
+//   outage     "none", "refuse" (503), "hang" or "reset"
+//   delay_ms   added before each request is handled
+//   cut        names of listeners whose connections hang
+//   source_delay_ms  per listener name, added to delay_ms
+class HttpService {
+ public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Response =
+      boost::beast::http::response<boost::beast::http::string_body>;
+
+  // One connection of a caller.
+  struct Connection {
+    std::string listener;
+    boost::beast::tcp_stream stream;
+
+    // True once the caller has closed its side.
+    bool closed_by_caller();
+  };
+
+  explicit HttpService(boost::asio::io_context& context);
+  virtual ~HttpService() = default;
+
+  // Applies the settings, listens and prints "listening NAME ADDRESS" for each
+  // listener, then "ready". Returns false if an address can't be bound.
+  bool Start(const StandinOptions& options);
+
+ protected:
+  // No response closes the connection without an answer.
+  virtual boost::asio::awaitable<std::optional<Response>> Handle(
+      const Request& request,
+      Connection& connection) = 0;
+  // A request to /standin/..., but for /standin/set.
+  virtual Response HandleControl(const Request& request) = 0;
+  // Applies the settings of POST /standin/set. Overrides call this one.
+  virtual void ApplySettings(const boost::json::object& settings);
+  // Returns false if a new connection is to be closed at once.
+  virtual bool AdmitConnection() { return true; }
+  virtual void OnConnectionClosed() {}
+
+  // True while the connection is to hang.
+  bool Hangs(const std::string& listener) const;
+  boost::asio::awaitable<void> Sleep(std::chrono::milliseconds duration);
+  boost::asio::io_context& context() { return context_; }
+
+  static Response Json(unsigned status, const boost::json::value& value);
+  static Response Empty(unsigned status);
+  // Returns a query parameter of the target, or an empty string.
+  static std::string Query(const Request& request, std::string_view name);
+  static std::string_view Path(const Request& request);
+  // Returns the JSON object of the body; empty if it is not one.
+  static boost::json::object Body(const Request& request);
+
+ private:
+  boost::asio::awaitable<void> AcceptLoop(
+      boost::asio::ip::tcp::acceptor acceptor,
+      std::string name);
+  boost::asio::awaitable<void> Serve(Connection connection);
+  boost::asio::awaitable<std::optional<Response>> HandleDisturbed(
+      const Request& request,
+      Connection& connection);
+
+  boost::asio::io_context& context_;
+  std::string outage_ = "none";
+  std::chrono::milliseconds delay_{0};
+  std::set<std::string> cut_;
+  std::map<std::string, std::chrono::milliseconds> source_delays_;
+};
+
+// Opens a listening socket on "ip:port" and prints "listening NAME ADDRESS";
+// an error leaves it closed.
+boost::asio::ip::tcp::acceptor ListenOn(boost::asio::io_context& context,
+                                        const std::string& name,
+                                        const std::string& address);
+
+// Milliseconds on the boot clock, which all processes of a machine share.
+std::int64_t BootMilliseconds();
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_STANDINS_HTTP_SERVICE_H_
--- /dev/null
+++ b/standins/link_service.cc
@@ -0,0 +1,270 @@
+// The link stand-in.
+
+#include "standins/link_service.h"
+
+#include <array>
+#include <deque>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace pollenrudder {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::ip::tcp;
+
+constexpr std::size_t kChunkBytes = 64u << 10;
+// Chunks on their way in one direction of a connection; reading stops above.
+constexpr std::size_t kMaxChunks = 64;
+constexpr std::chrono::milliseconds kCutCheckInterval{5};
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+
+}  // namespace
+
+// One listener with its settings, counts and connections.
+class LinkService::Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(asio::io_context& context, tcp::endpoint target)
+      : context_(context), target_(std::move(target)) {}
+
+  asio::awaitable<void> AcceptLoop(tcp::acceptor acceptor) {
+    for (;;) {
+      auto [error, socket] = co_await acceptor.async_accept(kAwaitTuple);
+      if (error) {
+        co_await Sleep(kCutCheckInterval);
+        continue;
+      }
+      ++connections_;
+      asio::co_spawn(context_, Connect(std::move(socket)), asio::detached);
+    }
+  }
+
+  void Apply(const json::object& settings) {
+    if (const json::value* const value = settings.if_contains("delay_ms"))
+      delay_ = std::chrono::milliseconds(value->to_number<int>());
+    if (const json::value* const value = settings.if_contains("bytes_per_s"))
+      bytes_per_second_ = value->to_number<std::uint64_t>();
+    if (const json::value* const value = settings.if_contains("cut"))
+      cut_ = value->as_string();
+    if (const json::value* const value = settings.if_contains("cut_sources")) {
+      cut_sources_.clear();
+      for (const json::value& source : value->as_array())
+        cut_sources_.emplace(source.as_string());
+    }
+    if (settings.contains("reset")) {
+      boost::system::error_code ignored;
+      for (tcp::socket* const socket : sockets_)
+        socket->close(ignored);
+    }
+  }
+
+  json::object Counts() const {
+    return {{"bytes_forth", bytes_[0]},
+            {"bytes_back", bytes_[1]},
+            {"connections", connections_},
+            {"open", sockets_.size() / 2}};
+  }
+
+ private:
+  // Direction 0 goes towards the target.
+  static constexpr std::array<const char*, 2> kDirections = {"forth", "back"};
+
+  struct Chunk {
+    asio::steady_timer::time_point due;
+    std::vector<char> bytes;
+  };
+
+  // A connection with both its sockets.
+  struct Pair {
+    explicit Pair(tcp::socket caller_socket, asio::io_context& context)
+        : caller(std::move(caller_socket)),
+          target(context),
+          source(RemoteAddress(caller)),
+          wake{asio::steady_timer(context), asio::steady_timer(context)} {}
+
+    tcp::socket caller;
+    tcp::socket target;
+    const std::string source;
+    std::array<std::deque<Chunk>, 2> chunks;
+    std::array<bool, 2> ended = {false, false};
+    // Wakes the writer of a direction.
+    std::array<asio::steady_timer, 2> wake;
+  };
+  using PairPointer = std::shared_ptr<Pair>;
+
+  static std::string RemoteAddress(const tcp::socket& socket) {
+    boost::system::error_code error;
+    return socket.remote_endpoint(error).address().to_string();
+  }
+
+  bool IsCut(std::size_t direction, const std::string& source) const {
+    return cut_ == "both" || cut_ == kDirections[direction] ||
+           cut_sources_.contains(source);
+  }
+
+  asio::awaitable<void> Sleep(std::chrono::milliseconds duration) {
+    asio::steady_timer timer(context_, duration);
+    co_await timer.async_wait(kAwaitTuple);
+  }
+
+  asio::awaitable<void> Connect(tcp::socket socket) {
+    const auto pair = std::make_shared<Pair>(std::move(socket), context_);
+    boost::system::error_code ignored;
+    pair->caller.set_option(tcp::no_delay(true), ignored);
+    while (IsCut(0, pair->source) || IsCut(1, pair->source))
+      co_await Sleep(kCutCheckInterval);
+    const auto [error] =
+        co_await pair->target.async_connect(target_, kAwaitTuple);
+    if (error)
+      co_return;
+    pair->target.set_option(tcp::no_delay(true), ignored);
+    sockets_.insert(&pair->caller);
+    sockets_.insert(&pair->target);
+    auto self = shared_from_this();
+    for (std::size_t direction = 0; direction < 2; ++direction) {
+      asio::co_spawn(
+          context_,
+          [self, pair, direction] { return self->Read(pair, direction); },
+          asio::detached);
+    }
+    asio::co_spawn(
+        context_, [self, pair] { return self->Write(pair, 1); },
+        asio::detached);
+    co_await Write(pair, 0);
+    // Closing one direction ends both: no caller here uses half-open sockets.
+    Close(*pair);
+  }
+
+  asio::awaitable<void> Read(PairPointer pair, std::size_t direction) {
+    tcp::socket& from = direction == 0 ? pair->caller : pair->target;
+    for (;;) {
+      std::vector<char> bytes(kChunkBytes);
+      const auto [error, size] =
+          co_await from.async_read_some(asio::buffer(bytes), kAwaitTuple);
+      if (error)
+        break;
+      bytes.resize(size);
+      pair->chunks[direction].push_back(
+          {asio::steady_timer::clock_type::now() + delay_, std::move(bytes)});
+      pair->wake[direction].cancel();
+      while (pair->chunks[direction].size() >= kMaxChunks && from.is_open())
+        co_await Sleep(kCutCheckInterval);
+    }
+    pair->ended[direction] = true;
+    pair->wake[direction].cancel();
+  }
+
+  asio::awaitable<void> Write(PairPointer pair, std::size_t direction) {
+    tcp::socket& to = direction == 0 ? pair->target : pair->caller;
+    std::deque<Chunk>& chunks = pair->chunks[direction];
+    for (;;) {
+      if (chunks.empty()) {
+        if (pair->ended[direction])
+          break;
+        pair->wake[direction].expires_at(asio::steady_timer::time_point::max());
+        co_await pair->wake[direction].async_wait(kAwaitTuple);
+        continue;
+      }
+      const Chunk chunk = std::move(chunks.front());
+      chunks.pop_front();
+      asio::steady_timer timer(context_, chunk.due);
+      co_await timer.async_wait(kAwaitTuple);
+      while (IsCut(direction, pair->source))
+        co_await Sleep(kCutCheckInterval);
+      const auto [error, size] = co_await asio::async_write(
+          to, asio::buffer(chunk.bytes), kAwaitTuple);
+      bytes_[direction] += size;
+      if (error)
+        break;
+      if (bytes_per_second_ > 0) {
+        co_await Sleep(
+            std::chrono::milliseconds(size * 1000 / bytes_per_second_));
+      }
+    }
+    Close(*pair);
+  }
+
+  void Close(Pair& pair) {
+    boost::system::error_code ignored;
+    for (tcp::socket* const socket : {&pair.caller, &pair.target}) {
+      sockets_.erase(socket);
+      socket->close(ignored);
+    }
+    for (asio::steady_timer& timer : pair.wake)
+      timer.cancel();
+    pair.ended = {true, true};
+    for (auto& chunks : pair.chunks)
+      chunks.clear();
+  }
+
+  asio::io_context& context_;
+  const tcp::endpoint target_;
+  std::chrono::milliseconds delay_{0};
+  std::uint64_t bytes_per_second_ = 0;
+  std::string cut_ = "none";
+  std::set<std::string> cut_sources_;
+  std::set<tcp::socket*> sockets_;
+  std::array<std::uint64_t, 2> bytes_ = {0, 0};
+  std::uint64_t connections_ = 0;
+};
+
+LinkService::LinkService(asio::io_context& context) : HttpService(context) {}
+LinkService::~LinkService() = default;
+
+bool LinkService::StartLinks(const StandinOptions& options) {
+  for (const auto& [name, target] : options.links) {
+    const auto colon = target.rfind(':');
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(target.substr(0, colon), error);
+    tcp::acceptor acceptor = ListenOn(context(), name, "127.0.0.1:0");
+    if (error || !acceptor.is_open())
+      return false;
+    const auto link = std::make_shared<Link>(
+        context(), tcp::endpoint(ip, static_cast<unsigned short>(
+                                         std::stoi(target.substr(colon + 1)))));
+    links_[name] = link;
+    asio::co_spawn(context(), link->AcceptLoop(std::move(acceptor)),
+                   asio::detached);
+  }
+  return Start(options);
+}
+
+asio::awaitable<std::optional<HttpService::Response>> LinkService::Handle(
+    const Request&,
+    Connection&) {
+  co_return Empty(404);
+}
+
+HttpService::Response LinkService::HandleControl(const Request& request) {
+  if (Path(request) != "/standin/counts")
+    return Empty(404);
+  json::object counts;
+  for (const auto& [name, link] : links_)
+    counts[name] = link->Counts();
+  return Json(200, counts);
+}
+
+void LinkService::ApplySettings(const json::object& settings) {
+  HttpService::ApplySettings(settings);
+  const json::value* const links = settings.if_contains("links");
+  if (!links)
+    return;
+  for (const auto& [name, link_settings] : links->as_object()) {
+    for (const auto& [link_name, link] : links_) {
+      if (name == "*" || name == link_name)
+        link->Apply(link_settings.as_object());
+    }
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/standins/log_service.h
@@ -0,0 +1,64 @@
+// A stand-in for the platform's log service.
+
+#ifndef POLLENRUDDER_STANDINS_LOG_SERVICE_H_
+#define POLLENRUDDER_STANDINS_LOG_SERVICE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "standins/http_service.h"
+
+namespace pollenrudder {
+
+// Append-only, with offsets and limited retention. Further settings:
+//   retention      records kept (default 100,000)
+//   append_rate    appends per second; more are answered 429 (0: no limit)
+//   lose_answers   the next n appends take effect and are not answered
+//   restart_empty  true forgets all records, so that offsets start again
+// GET /standin/counts tells the number of appends, reads and bytes of records
+// per listener.
+class LogService : public HttpService {
+ public:
+  using HttpService::HttpService;
+
+ protected:
+  boost::asio::awaitable<std::optional<Response>> Handle(
+      const Request& request,
+      Connection& connection) override;
+  Response HandleControl(const Request& request) override;
+  void ApplySettings(const boost::json::object& settings) override;
+
+ private:
+  struct Traffic {
+    std::uint64_t appends = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t records = 0;
+    std::uint64_t record_bytes = 0;
+  };
+
+  std::optional<Response> Append(const Request& request, Traffic& traffic);
+  boost::asio::awaitable<std::optional<Response>> Read(const Request& request,
+                                                       Connection& connection,
+                                                       Traffic& traffic);
+  bool AdmitAppend();
+  std::uint64_t next() const { return first_ + records_.size(); }
+
+  std::deque<std::string> records_;
+  std::uint64_t first_ = 1;
+  std::size_t retention_ = 100000;
+  int append_rate_ = 0;
+  std::int64_t rate_window_ = 0;
+  int appends_in_window_ = 0;
+  int lose_answers_ = 0;
+  std::set<boost::asio::steady_timer*> waiting_readers_;
+  std::map<std::string, Traffic> traffic_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_STANDINS_LOG_SERVICE_H_
--- /dev/null
+++ b/tests/system/deployment.py
@@ -0,0 +1,200 @@
+"""A whole system: platform, upstreams and daemons of several zones."""
+import json
+import os
+import shutil
+import subprocess
+import tempfile
+import time
+
+from processes import CTL, Daemon, Standin, request, wait_until
+
+# Two regions with two zones each, as in both deployments.
+ZONES = {"falkirk-a": "central-belt", "stirling-b": "central-belt",
+         "inverness-a": "highland", "dingwall-b": "highland"}
+
+# One service divided by key and one not; the second has requests that must not
+# run twice. isolation_hold is short, so that a test can wait for its end.
+SECTION = """
+team: test-team
+services:
+  - name: geodata
+    path_prefix: /geodata/
+    key: {{path_segment: 0}}
+    shards: 64
+    deadline: 2s
+    isolation_hold: {hold}
+    slots: 6
+    connections: 110
+    checks_fence: {checks_fence}
+    max_body: 1MiB
+  - name: crewdesk
+    path_prefix: /crewdesk/
+    deadline: 2s
+    isolation_hold: {hold}
+    slots: 6
+    connections: 110
+    checks_fence: {checks_fence}
+{more}
+"""
+
+
+def section(hold="4s", checks_fence="true", more=""):
+    return SECTION.format(hold=hold, checks_fence=checks_fence, more=more)
+
+
+class Deployment:
+    """Starts everything in a temporary folder; close() ends it all."""
+
+    def __init__(self, daemons_per_zone=1, upstreams_per_service=4,
+                 zones=None, services=("geodata", "crewdesk"),
+                 sections=None, upstream_settings=None, lag_ms=0):
+        self.zones = zones or ZONES
+        self.folder = tempfile.mkdtemp(prefix="pollenrudder-")
+        self.processes = []
+        self.upstreams = {}
+        self.daemons = {}
+        try:
+            self.log = self._add(Standin("log", "log", self.folder, (
+                "main", *self.zones)))
+            self.list = self._add(Standin(
+                "instances", "instances", self.folder, ("main", *self.zones),
+                lag_ms=lag_ms))
+            for text in sections if sections is not None else [section()]:
+                assert self.publish(text).returncode == 0
+            zone_names = list(self.zones)
+            for service in services:
+                for index in range(upstreams_per_service):
+                    self.start_upstream(
+                        service, f"{service}-{index + 1}",
+                        zone_names[index % len(zone_names)],
+                        **(upstream_settings or {}))
+            for zone in zone_names:
+                for index in range(daemons_per_zone):
+                    self.start_daemon(f"{zone}-{index + 1}", zone)
+        except BaseException:
+            self.close()
+            raise
+
+    def _add(self, process):
+        self.processes.append(process)
+        return process
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+        if os.environ.get("POLLENRUDDER_KEEP"):
+            print("kept", self.folder)
+        else:
+            shutil.rmtree(self.folder)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    # Upstreams and daemons are listed as soon as they run.
+    def start_upstream(self, service, name, zone, **settings):
+        upstream = self._add(Standin(
+            name, "upstream", self.folder, name=name,
+            journal=os.path.join(self.folder, f"{name}.journal"),
+            **{"service_ms": 2, **settings}))
+        upstream.entry = {
+            "name": name, "kind": "upstream", "service": service, "zone": zone,
+            "region": self.zones[zone], "address": upstream.address,
+            "state": "live"}
+        self.upstreams[name] = upstream
+        self.register(upstream)
+        return upstream
+
+    def start_daemon(self, name, zone, **settings):
+        daemon = self._add(Daemon(
+            name, zone, self.zones[zone], self.log.addresses[zone],
+            self.list.addresses[zone], self.folder, **settings))
+        daemon.entry = {
+            "name": daemon.instance, "kind": "entry", "zone": zone,
+            "region": self.zones[zone], "address": daemon.forward,
+            "peer_address": daemon.peer, "state": "live"}
+        self.daemons[name] = daemon
+        self.register(daemon)
+        return daemon
+
+    def register(self, process, state="live"):
+        process.entry["state"] = state
+        self.list.control("/standin/register", process.entry)
+
+    def unlist(self, process):
+        self.list.control("/standin/remove", {"name": process.entry["name"]})
+
+    def publish(self, text, *options):
+        path = os.path.join(self.folder, f"section-{time.monotonic_ns()}.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+        return subprocess.run(
+            [CTL, "publish", path, "--log", self.log.address, *options],
+            capture_output=True, text=True, check=False, timeout=30)
+
+    def wait_until_served(self, targets=("/crewdesk/", *(
+            f"/geodata/key-{index}" for index in range(40))), timeout_s=30):
+        """Waits until every daemon answers all targets."""
+        def served(daemon):
+            for target in targets:
+                status, headers, _ = request(
+                    daemon.caller, "GET", f"{target}?tag=ready")
+                if status != 200:
+                    return False
+            return True
+        for daemon in self.daemons.values():
+            if daemon.running():
+                wait_until(lambda d=daemon: served(d),
+                           f"{daemon.name} serves\n{daemon.output()[-2000:]}",
+                           timeout_s, 0.1)
+
+    def owner(self, key, service="geodata", daemon=None):
+        """Returns the name of the upstream that answers for the key."""
+        daemon = daemon or next(iter(self.daemons.values()))
+        _, _, body = request(
+            daemon.caller, "GET", f"/{service}/{key}?tag=owner")
+        return json.loads(body)["upstream"]
+
+    def leader(self, upstream):
+        """Returns the daemon that leads the upstream."""
+        for daemon in self.daemons.values():
+            if not daemon.running():
+                continue
+            for record in reversed(self.log_records()):
+                if record["type"] != "term":
+                    continue
+                for entry in record.get("terms", []):
+                    if entry["upstream"] == upstream:
+                        return next(
+                            (d for d in self.daemons.values()
+                             if d.instance == entry["leader"]), None)
+        return None
+
+    def log_records(self):
+        records, first = [], 1
+        while True:
+            _, _, body = request(self.log.address, "GET",
+                                 f"/v1/records?from={first}&limit=5000")
+            answer = json.loads(body)
+            records += [json.loads(r["data"]) for r in answer["records"]]
+            if not answer["records"]:
+                return records
+            first = answer["next"]
+
+    def executions(self):
+        """Returns all executions as (upstream, tag, id, shard, fence, start),
+        also those of upstreams that were killed."""
+        found = []
+        for name in self.upstreams:
+            path = os.path.join(self.folder, f"{name}.journal")
+            if not os.path.exists(path):
+                continue
+            with open(path, encoding="utf-8") as journal:
+                for line in journal:
+                    tag, request_id, shard, fence, start = (
+                        line.rstrip("\n").split("\t"))
+                    found.append((name, tag, request_id, shard, int(fence),
+                                  int(start)))
+        return found
