--- /dev/null
+++ b/apps/pollenrudderd/admin_requests.cc
@@ -0,0 +1,126 @@
+// AdminRequests.
+
+#include "pollenrudderd/admin_requests.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "base/event_log.h"
+#include "callers/key_extractor.h"
+#include "routing/shard_of.h"
+
+namespace pollenrudder {
+namespace {
+
+AdminAnswer ErrorAnswerOf(int status, std::string_view message) {
+  AdminAnswer answer;
+  answer.http_status = status;
+  answer.body =
+      boost::json::serialize(boost::json::object{{"error", message}}) + "\n";
+  return answer;
+}
+
+// Describes where requests to `upstream` go.
+boost::json::object DescribeUpstream(const RoutedUpstream& upstream) {
+  return {{"upstream", upstream.name},
+          {"address", upstream.address},
+          {"zone", upstream.zone},
+          {"leaving", upstream.leaving},
+          {"term", upstream.term},
+          {"leader", upstream.leader},
+          {"leader_zone", upstream.leader_zone},
+          {"leader_address", upstream.leader_address}};
+}
+
+}  // namespace
+
+AdminRequests::AdminRequests(ControlThread& control,
+                             const RoutingTableHolder& tables,
+                             Metrics& metrics)
+    : control_(control), tables_(tables), metrics_(metrics) {}
+
+AdminAnswer AdminRequests::HandleAdminRequest(std::string_view target) {
+  const std::string_view path = PathOf(target);
+  if (path == "/status")
+    return Status();
+  if (path == "/health")
+    return Health();
+  if (path == "/metrics")
+    return RenderMetrics();
+  if (path == "/route")
+    return Route(target);
+  return ErrorAnswerOf(404, "no such page");
+}
+
+AdminAnswer AdminRequests::Status() {
+  AdminAnswer answer;
+  answer.body = control_.ReadStatus();
+  if (answer.body.empty())
+    return ErrorAnswerOf(503, "the control thread does not answer");
+  return answer;
+}
+
+AdminAnswer AdminRequests::Health() const {
+  const RoutingTablePointer table = tables_.Load();
+  if (!table)
+    return ErrorAnswerOf(503, "no routing table yet");
+  AdminAnswer answer;
+  answer.body = boost::json::serialize(boost::json::object{
+                    {"status", "ok"}, {"table", table->offset}}) +
+                "\n";
+  return answer;
+}
+
+AdminAnswer AdminRequests::RenderMetrics() {
+  const RoutingTablePointer table = tables_.Load();
+  metrics_.Set("pollenrudder_table_offset", {},
+               table ? static_cast<double>(table->offset) : 0);
+  metrics_.Set("pollenrudder_log_lines_dropped", {},
+               static_cast<double>(EventLog::dropped_lines()));
+  AdminAnswer answer;
+  answer.content_type = "text/plain; version=0.0.4";
+  answer.body = metrics_.Render();
+  return answer;
+}
+
+AdminAnswer AdminRequests::Route(std::string_view target) const {
+  const RoutingTablePointer table = tables_.Load();
+  const auto name = FindQueryParameter(target, "service");
+  const RoutedService* const service =
+      table && name ? table->FindService(*name) : nullptr;
+  if (!service)
+    return ErrorAnswerOf(404, "unknown service");
+  boost::json::object route{{"service", *name}, {"table", table->offset}};
+  if (service->settings.divided_by_key) {
+    const auto key = FindQueryParameter(target, "key");
+    if (!key || key->empty())
+      return ErrorAnswerOf(400,
+                           "the service is divided by key; key is missing");
+    const std::uint32_t shard = ShardOf(*key, service->settings.shards);
+    route["shard"] = shard;
+    const std::uint32_t owner = shard < service->shard_owners.size()
+                                    ? service->shard_owners[shard]
+                                    : RoutedService::kNoUpstream;
+    if (owner != RoutedService::kNoUpstream) {
+      const RoutedUpstream& upstream = table->upstreams[owner];
+      route["epoch"] =
+          std::max(service->shard_offsets[shard], upstream.leader_since);
+      route["owner"] = DescribeUpstream(upstream);
+    } else {
+      route["owner"] = nullptr;
+    }
+  } else {
+    boost::json::array upstreams;
+    for (const std::uint32_t index : service->upstreams)
+      upstreams.push_back(DescribeUpstream(table->upstreams[index]));
+    route["upstreams"] = std::move(upstreams);
+  }
+  AdminAnswer answer;
+  answer.body = boost::json::serialize(route) + "\n";
+  return answer;
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/apps/pollenrudderd/daemon.cc
@@ -0,0 +1,214 @@
+// Daemon.
+
+#include "pollenrudderd/daemon.h"
+
+#include <thread>
+#include <utility>
+
+#include "base/event_log.h"
+#include "callers/forward_handler.h"
+#include "callers/ingress.h"
+#include "pollenrudderd/daemon_events.h"
+
+namespace pollenrudder {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Events for the control thread. Reads of the log and reports are the most
+// frequent; a full ring means that the control thread has stopped.
+constexpr std::size_t kInputCapacity = 16384;
+// One thread receives forwarded requests: it only passes them to the sender.
+constexpr std::uint32_t kForwardThreads = 1;
+
+// A handover takes a drain and an append per upstream. It ends without the log
+// only by this limit.
+constexpr milliseconds kHandoverLimit{30000};
+// Callers that use their connections send a request within this time and learn
+// by its response that the connection ends.
+constexpr milliseconds kCloseGrace{2000};
+// Longer than the longest usual deadline of a request.
+constexpr milliseconds kRequestLimit{30000};
+constexpr milliseconds kPoll{5};
+
+std::string CreateInstanceName(const std::string& name) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto microseconds =
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  return name + "." + std::to_string(microseconds);
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Daemon>> Daemon::Start(const DaemonSettings& settings) {
+  std::unique_ptr<Daemon> daemon(new Daemon(settings));
+  BOOST_OUTCOME_TRY(daemon->StartThreads());
+  daemon->LogStart();
+  return daemon;
+}
+
+Daemon::Daemon(const DaemonSettings& settings)
+    : settings_(settings),
+      instance_(CreateInstanceName(settings.name)),
+      metrics_(Metrics::Create()),
+      inputs_(kInputCapacity) {}
+
+Daemon::~Daemon() {
+  admin_server_.reset();
+  snapshot_source_ = nullptr;
+  if (control_)
+    control_->Stop();
+  platform_.reset();
+  peer_client_.reset();
+  peer_server_.reset();
+  // The event loops of the servers stay until no answer is posted to them.
+  if (caller_server_)
+    caller_server_->Stop();
+  if (forward_server_)
+    forward_server_->Stop();
+  sender_.reset();
+}
+
+Result<void> Daemon::StartThreads() {
+  BOOST_OUTCOME_TRY(StartServers());
+  BOOST_OUTCOME_TRY(StartControl());
+  return boost::outcome_v2::success();
+}
+
+Result<void> Daemon::StartServers() {
+  BOOST_OUTCOME_TRY(peer_server_,
+                    PeerServer::Create(settings_.peer_address, inputs_,
+                                       *metrics_, tail_, *this));
+  sender_ =
+      UpstreamSender::Create({instance_, settings_.region}, *this, *metrics_);
+  ingress_context_ = std::make_unique<IngressContext>(
+      IngressContext{instance_, settings_.zone, settings_.region, tables_,
+                     *sender_, teams_, *metrics_});
+  CallerServer::Options forward;
+  forward.address = settings_.forward_address;
+  forward.threads = kForwardThreads;
+  forward.name = "forward";
+  BOOST_OUTCOME_TRY(forward_server_,
+                    CallerServer::Create(
+                        forward,
+                        [this](boost::asio::io_context& io) {
+                          return std::make_unique<ForwardHandler>(
+                              *ingress_context_, io);
+                        },
+                        *metrics_));
+  CallerServer::Options caller;
+  caller.address = settings_.caller_address;
+  caller.threads = settings_.threads;
+  caller.name = "caller";
+  BOOST_OUTCOME_TRY(caller_server_, CallerServer::Create(
+                                        caller,
+                                        [this](boost::asio::io_context& io) {
+                                          return std::make_unique<Ingress>(
+                                              *ingress_context_, io);
+                                        },
+                                        *metrics_));
+  return boost::outcome_v2::success();
+}
+
+Result<void> Daemon::StartControl() {
+  ControllerOptions options;
+  options.instance = instance_;
+  options.zone = settings_.zone;
+  options.region = settings_.region;
+  options.forward_address = forward_server_->address();
+  options.peer_address = peer_server_->address();
+  BOOST_OUTCOME_TRY(auto controller, Controller::Create(std::move(options)));
+  control_ = std::make_unique<ControlThread>(std::move(controller), instance_,
+                                             settings_.zone, inputs_);
+  peer_client_ =
+      PeerClient::Create(instance_, settings_.region, inputs_, *metrics_);
+  PlatformOptions platform;
+  platform.log_address = settings_.log_address;
+  platform.instance_list_address = settings_.instance_list_address;
+  platform.instance = instance_;
+  platform.zone = settings_.zone;
+  platform.relay_tree = settings_.relay_tree;
+  BOOST_OUTCOME_TRY(
+      platform_, PlatformThread::Create(std::move(platform), inputs_, *metrics_,
+                                        tail_, peer_client_.get()));
+  admin_requests_ =
+      std::make_unique<AdminRequests>(*control_, tables_, *metrics_);
+  BOOST_OUTCOME_TRY(admin_server_, AdminServer::Start(settings_.admin_address,
+                                                      *admin_requests_));
+  control_->Start(
+      {*platform_, *peer_client_, *peer_server_, *sender_, tables_});
+  snapshot_source_ = control_.get();
+  return boost::outcome_v2::success();
+}
+
+void Daemon::LogStart() const {
+  EventLog::Write(kDaemonStarted, {{"instance", instance_},
+                                   {"zone", settings_.zone},
+                                   {"region", settings_.region},
+                                   {"caller", caller_server_->address()},
+                                   {"forward", forward_server_->address()},
+                                   {"peer", peer_server_->address()},
+                                   {"admin", admin_server_->address()}});
+  EventLog::Flush();
+}
+
+void Daemon::Leave(const std::atomic<bool>& cancelled) {
+  EventLog::Write(kLeaveStarted, {{"instance", instance_}});
+  PushInput(LeaveRequested{});
+  const bool handed_over = WaitFor(
+      [this] { return control_->leave_finished(); }, kHandoverLimit, cancelled);
+  EventLog::Write(handed_over ? kHandoverFinished : kHandoverTimedOut, {});
+  caller_server_->StartShutdown();
+  const auto no_callers = [this] {
+    return caller_server_->open_connections() == 0;
+  };
+  WaitFor(no_callers, kCloseGrace, cancelled);
+  caller_server_->CloseIdle();
+  WaitFor(no_callers, kRequestLimit, cancelled);
+  forward_server_->StartShutdown();
+  WaitFor([this] { return sender_->requests_in_flight() == 0; }, kRequestLimit,
+          cancelled);
+  forward_server_->CloseIdle();
+  EventLog::Write(kDaemonStopped, {{"instance", instance_}});
+  EventLog::Flush();
+}
+
+bool Daemon::WaitFor(const std::function<bool()>& done,
+                     milliseconds limit,
+                     const std::atomic<bool>& cancelled) {
+  const BootTime end = BootClock::now() + limit;
+  while (!done()) {
+    if (cancelled || BootClock::now() >= end)
+      return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+void Daemon::PushInput(ControllerInput input) {
+  if (!inputs_.Push(std::move(input)))
+    EventLog::Write(kInputDropped, {});
+}
+
+void Daemon::OnUpstreamObserved(UpstreamObserved event) {
+  PushInput(std::move(event));
+}
+
+void Daemon::OnFingerprintConfirmed(FingerprintConfirmed event) {
+  PushInput(std::move(event));
+}
+
+void Daemon::OnDrainFinished(DrainFinished event) {
+  PushInput(std::move(event));
+}
+
+void Daemon::OnLoadReported(LoadReported event) {
+  PushInput(std::move(event));
+}
+
+void Daemon::OnSnapshotRequested(std::uint64_t call_id) {
+  if (ControlThread* const source = snapshot_source_.load())
+    source->AnswerSnapshot(call_id);
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/apps/pollenrudderd/daemon.h
@@ -0,0 +1,92 @@
+// All threads of one pollenrudderd process.
+
+#ifndef POLLENRUDDER_POLLENRUDDERD_DAEMON_H_
+#define POLLENRUDDER_POLLENRUDDERD_DAEMON_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/metrics.h"
+#include "base/result.h"
+#include "callers/caller_server.h"
+#include "callers/ingress_context.h"
+#include "document/daemon_settings.h"
+#include "operators/admin_server.h"
+#include "peers/peer_client.h"
+#include "peers/peer_server.h"
+#include "platform/platform_thread.h"
+#include "pollenrudderd/admin_requests.h"
+#include "pollenrudderd/control_thread.h"
+#include "upstreams/upstream_listener.h"
+#include "upstreams/upstream_sender.h"
+
+namespace pollenrudder {
+
+// Starts the threads in the order of what they need and stops them in reverse.
+//   auto daemon = Daemon::Start(settings);  ... daemon.value()->Leave(cancel);
+class Daemon final : public UpstreamListener, public PeerServer::Listener {
+ public:
+  // Binds all addresses and starts serving. Fails if one can't be bound.
+  static Result<std::unique_ptr<Daemon>> Start(const DaemonSettings& settings);
+  // Stops and joins all threads.
+  ~Daemon() override;
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  // Hands over all terms, lets the requests of callers end and returns. Ends
+  // early when `cancelled` becomes true.
+  void Leave(const std::atomic<bool>& cancelled);
+
+  // UpstreamListener:
+  void OnUpstreamObserved(UpstreamObserved event) override;
+  void OnFingerprintConfirmed(FingerprintConfirmed event) override;
+  void OnDrainFinished(DrainFinished event) override;
+  void OnLoadReported(LoadReported event) override;
+
+  // PeerServer::Listener:
+  void OnSnapshotRequested(std::uint64_t call_id) override;
+
+ private:
+  explicit Daemon(const DaemonSettings& settings);
+
+  Result<void> StartThreads();
+  Result<void> StartServers();
+  Result<void> StartControl();
+  void LogStart() const;
+  void PushInput(ControllerInput input);
+  // Waits until `done` returns true, `limit` has passed or `cancelled` is set.
+  // Returns whether `done` did.
+  static bool WaitFor(const std::function<bool()>& done,
+                      std::chrono::milliseconds limit,
+                      const std::atomic<bool>& cancelled);
+
+  const DaemonSettings settings_;
+  // "<name>.<incarnation>".
+  const std::string instance_;
+  const std::unique_ptr<Metrics> metrics_;
+  ControlThread::Inputs inputs_;
+  LogTail tail_;
+  RoutingTableHolder tables_;
+  TeamLimits teams_;
+  // Null until the control thread runs; peers may ask before that.
+  std::atomic<ControlThread*> snapshot_source_ = nullptr;
+  // In the order in which they are started.
+  std::unique_ptr<PeerServer> peer_server_;
+  std::unique_ptr<UpstreamSender> sender_;
+  std::unique_ptr<IngressContext> ingress_context_;
+  std::unique_ptr<CallerServer> forward_server_;
+  std::unique_ptr<CallerServer> caller_server_;
+  std::unique_ptr<PeerClient> peer_client_;
+  std::unique_ptr<PlatformThread> platform_;
+  std::unique_ptr<ControlThread> control_;
+  std::unique_ptr<AdminRequests> admin_requests_;
+  std::unique_ptr<AdminServer> admin_server_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_POLLENRUDDERD_DAEMON_H_
