--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -96,7 +96,7 @@
     # Upstreams and daemons are listed as soon as they run.
     def start_upstream(self, service, name, zone, **settings):
         upstream = self._add(Standin(
-            name, "upstream", self.folder, name=name,
+            name, "upstream", self.folder,
             journal=os.path.join(self.folder, f"{name}.journal"),
             **{"service_ms": 2, **settings}))
         upstream.entry = {
@@ -150,28 +150,39 @@
                            f"{daemon.name} serves\n{daemon.output()[-2000:]}",
                            timeout_s, 0.1)
 
+    def route(self, service, key="", daemon=None):
+        """Returns what a daemon's routing table says of a service or key."""
+        daemon = daemon or self.live_daemons()[0]
+        status, _, body = request(
+            daemon.admin, "GET", f"/route?service={service}&key={key}")
+        assert status == 200, body
+        return json.loads(body)
+
     def owner(self, key, service="geodata", daemon=None):
-        """Returns the name of the upstream that answers for the key."""
-        daemon = daemon or next(iter(self.daemons.values()))
-        _, _, body = request(
-            daemon.caller, "GET", f"/{service}/{key}?tag=owner")
-        return json.loads(body)["upstream"]
-
-    def leader(self, upstream):
-        """Returns the daemon that leads the upstream."""
-        for daemon in self.daemons.values():
-            if not daemon.running():
-                continue
-            for record in reversed(self.log_records()):
-                if record["type"] != "term":
-                    continue
-                for entry in record.get("terms", []):
-                    if entry["upstream"] == upstream:
-                        return next(
-                            (d for d in self.daemons.values()
-                             if d.instance == entry["leader"]), None)
+        """Returns the name of the upstream that owns the key."""
+        return (self.route(service, key, daemon)["owner"] or {}).get("upstream")
+
+    def leader(self, upstream, daemon=None):
+        """Returns the daemon that leads the upstream, or None."""
+        service = self.upstreams[upstream].entry["service"]
+        route = self.route(service, "any", daemon)
+        if "upstreams" in route:
+            described = [u for u in route["upstreams"]
+                         if u["upstream"] == upstream]
+        else:
+            described = [
+                owner for owner in (
+                    self.route(service, f"key-{index}", daemon)["owner"]
+                    for index in range(100))
+                if owner and owner["upstream"] == upstream]
+        for daemon_ in self.daemons.values():
+            if described and daemon_.instance == described[0]["leader"]:
+                return daemon_
         return None
 
+    def live_daemons(self):
+        return [d for d in self.daemons.values() if d.running()]
+
     def log_records(self):
         records, first = [], 1
         while True:
--- a/tests/system/processes.py
+++ b/tests/system/processes.py
@@ -94,7 +94,8 @@
 
     def __init__(self, name, kind, folder, listeners=("main",), links=None,
                  address="127.0.0.1:0", **settings):
-        command = [STANDIN, kind, "--set", json.dumps(settings)]
+        command = [STANDIN, kind, "--set",
+                   json.dumps({"name": name, **settings})]
         for listener in listeners:
             command += ["--listen", f"{listener}={address}"]
         for link, target in (links or {}).items():
@@ -131,7 +132,7 @@
         path = os.path.join(folder, f"{name}.yaml")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        super().__init__(name, [DAEMON, path], folder)
+        super().__init__(name, [DAEMON, "--settings", path], folder)
         line = self.wait_for_output("name=daemon_started (.*)$").group(1)
         fields = dict(re.findall(r"(\w+)=(\S+)", line))
         self.instance = fields["instance"]
