Answer drains by their id

The controller tells the answer of a drain from that of one that was given up by an id; the upstream package still answered with the list of shards, so the merged tree did not compile. Before: build error in shard_drains.cc. After: 165 tests pass, among them the thin path over real processes.

--- a/packages/upstreams/shard_drains.cc
+++ b/packages/upstreams/shard_drains.cc
@@ -56,7 +56,7 @@
 }
 
 DrainFinished ShardDrains::FinishedOf(DrainShards drain) {
-  return {std::move(drain.upstream), std::move(drain.shards), drain.whole};
+  return {drain.drain_id, std::move(drain.upstream)};
 }
 
 bool ShardDrains::IsBlocked(std::uint32_t shard) const {
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -97,7 +97,7 @@
     return;
   for (DrainFinished& finished : drains_.TakeFinished(now)) {
     EventLog::Write(kDrainFinished,
-                    {{"upstream", name_}, {"shards", finished.shards.size()}});
+                    {{"upstream", name_}, {"drain", finished.drain_id}});
     context_.listener.OnDrainFinished(std::move(finished));
   }
 }
