--- a/packages/upstreams/shard_drains.cc
+++ b/packages/upstreams/shard_drains.cc
@@ -55,8 +55,8 @@
   });
 }
 
-DrainFinished ShardDrains::FinishedOf(DrainShards drain) {
-  return {std::move(drain.upstream), std::move(drain.shards), drain.whole};
+DrainFinished ShardDrains::FinishedOf(const DrainShards& drain) {
+  return {drain.drain_id, drain.upstream};
 }
 
 bool ShardDrains::IsBlocked(std::uint32_t shard) const {
@@ -68,10 +68,10 @@
     return abandoned.busy_until <= now;
   });
   std::vector<DrainFinished> finished;
-  std::erase_if(pending_, [&](DrainShards& drain) {
+  std::erase_if(pending_, [&](const DrainShards& drain) {
     if (!IsQuiet(drain))
       return false;
-    finished.push_back(FinishedOf(std::move(drain)));
+    finished.push_back(FinishedOf(drain));
     return true;
   });
   return finished;
--- a/packages/upstreams/shard_drains.h
+++ b/packages/upstreams/shard_drains.h
@@ -45,7 +45,7 @@
   std::vector<DrainFinished> TakeFinished(BootTime now);
 
   // The answer to a drain.
-  static DrainFinished FinishedOf(DrainShards drain);
+  static DrainFinished FinishedOf(const DrainShards& drain);
 
   // Whether TakeFinished() may return something later without another call.
   bool is_waiting() const { return !pending_.empty(); }
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -73,6 +73,7 @@
 
 void UpstreamLeader::Drain(const DrainShards& drain) {
   EventLog::Write(kDrainStarted, {{"upstream", name_},
+                                  {"drain_id", drain.drain_id},
                                   {"shards", drain.shards.size()},
                                   {"whole", drain.whole ? "true" : "false"}});
   drains_.Start(drain, [this](std::uint32_t shard) { return EpochOf(shard); });
@@ -97,7 +98,7 @@
     return;
   for (DrainFinished& finished : drains_.TakeFinished(now)) {
     EventLog::Write(kDrainFinished,
-                    {{"upstream", name_}, {"shards", finished.shards.size()}});
+                    {{"upstream", name_}, {"drain_id", finished.drain_id}});
     context_.listener.OnDrainFinished(std::move(finished));
   }
 }
