Add policy_bench, which compares the routing policies

Cause: the choices of placement, upstream, retries, records, quarantine and admission need figures. Before: none.

--- /dev/null
+++ b/packages/routing/admission_bench.cc
@@ -0,0 +1,169 @@
+// policy_bench: admission at one upstream, in simulated time.
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <random>
+
+#include "routing/admission.h"
+#include "routing/bench_report.h"
+
+namespace pollenrudder {
+
+namespace {
+
+constexpr std::uint32_t kSlots = 6;
+constexpr double kServiceSeconds = 0.01;
+constexpr double kDeadlineSeconds = 0.2;
+constexpr double kRunSeconds = 60;
+constexpr std::uint64_t kGreedyFlow = 0;
+constexpr std::uint64_t kFlows = 10;
+
+BootTime At(double seconds) {
+  return BootTime(
+      std::chrono::nanoseconds(static_cast<std::int64_t>(seconds * 1e9)));
+}
+
+struct AdmissionOption {
+  std::string name;
+  std::uint32_t queue_length = 64;
+  // All requests in one flow: in order of arrival.
+  bool one_flow = false;
+  // False: the deadline for the estimate is far away.
+  bool estimate = true;
+};
+
+struct AdmissionFigures {
+  double answered_share = 0;
+  // Of the admitted requests, those that ended after their deadline or were
+  // dropped from the queue at it.
+  double late_share = 0;
+  double p50 = 0;
+  double p99 = 0;
+  // The share of the nine modest flows' requests that were answered.
+  double modest_share = 0;
+};
+
+struct Work {
+  double arrived = 0;
+  std::uint64_t flow = 0;
+};
+
+struct Event {
+  double time = 0;
+  // 0 for an arrival.
+  std::uint64_t ticket = 0;
+
+  bool operator<(const Event& other) const { return time > other.time; }
+};
+
+// One upstream at `load` times its capacity. One flow sends 60 % of it.
+AdmissionFigures Simulate(const AdmissionOption& option,
+                          double load,
+                          std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Admission admission({.slots = kSlots, .queue_length = option.queue_length});
+  std::exponential_distribution<double> service(1 / kServiceSeconds);
+  std::exponential_distribution<double> gap(load * kSlots / kServiceSeconds);
+  std::map<std::uint64_t, Work> work;
+  std::priority_queue<Event> events;
+  std::vector<double> latencies;
+  std::uint64_t tickets = 0;
+  double admitted = 0;
+  double late = 0;
+  double modest = 0;
+  double modest_answered = 0;
+  events.push({0, 0});
+  while (!events.empty()) {
+    const Event event = events.top();
+    const double now = event.time;
+    events.pop();
+    if (event.ticket == 0) {
+      if (now >= kRunSeconds)
+        continue;
+      events.push({now + gap(random), 0});
+      const std::uint64_t flow =
+          random() % 10 < 6 ? kGreedyFlow : 1 + random() % (kFlows - 1);
+      modest += flow != kGreedyFlow;
+      const std::uint64_t ticket = ++tickets;
+      const double deadline = option.estimate ? kDeadlineSeconds : 3600;
+      const Admission::Decision decision = admission.Submit(
+          {ticket, option.one_flow ? 0 : flow, At(now + deadline), false},
+          At(now));
+      if (decision.displaced) {
+        work.erase(*decision.displaced);
+        --admitted;
+      }
+      if (decision.result == AdmissionResult::kStart)
+        events.push({now + service(random), ticket});
+      if (decision.result == AdmissionResult::kStart ||
+          decision.result == AdmissionResult::kQueued) {
+        work[ticket] = {now, flow};
+        ++admitted;
+      }
+    } else {
+      const Work done = work[event.ticket];
+      work.erase(event.ticket);
+      admission.Finished(event.ticket, SlotEnd::kAnswered, At(now));
+      if (now - done.arrived > kDeadlineSeconds) {
+        ++late;
+      } else {
+        latencies.push_back((now - done.arrived) * 1000);
+        modest_answered += done.flow != kGreedyFlow;
+      }
+    }
+    while (const auto verdict = admission.Next(At(now))) {
+      if (verdict->result == AdmissionResult::kStart) {
+        events.push({now + service(random), verdict->ticket});
+      } else {
+        work.erase(verdict->ticket);
+        ++late;
+      }
+    }
+  }
+  std::sort(latencies.begin(), latencies.end());
+  const auto at = [&](double share) {
+    return latencies[static_cast<std::size_t>(
+        share * static_cast<double>(latencies.size() - 1))];
+  };
+  AdmissionFigures figures;
+  figures.answered_share =
+      static_cast<double>(latencies.size()) / static_cast<double>(tickets);
+  figures.late_share = late / admitted;
+  figures.p50 = at(0.5);
+  figures.p99 = at(0.99);
+  figures.modest_share = modest_answered / modest;
+  return figures;
+}
+
+}  // namespace
+
+void RunAdmissionBench() {
+  BenchReport::Title(
+      "Admission: one upstream, 6 slots, mean service time 10 ms, deadline "
+      "200 ms, one flow sends 60 % and nine share the rest, 60 s of simulated "
+      "time");
+  BenchReport::Head({"load", "option", "answered in time (%)",
+                     "admitted but late (%)", "p50 ms", "p99 ms",
+                     "modest flows answered (%)"});
+  const std::vector<AdmissionOption> options = {
+      {"queue 1000, no estimate, in order", 1000, true, false},
+      {"queue 64, no estimate, in order", 64, true, false},
+      {"queue 1000, estimate, in order", 1000, true, true},
+      {"queue 64, estimate, in order", 64, true, true},
+      {"queue 64, estimate, by flow (chosen)", 64, false, true},
+      {"queue 1000, estimate, by flow", 1000, false, true}};
+  for (const double load : {0.7, 1.0, 1.5, 3.0}) {
+    for (const AdmissionOption& option : options) {
+      const AdmissionFigures figures = Simulate(option, load, 11);
+      BenchReport::Row({BenchReport::Number(load, 1), option.name,
+                        BenchReport::Number(100 * figures.answered_share, 1),
+                        BenchReport::Number(100 * figures.late_share, 1),
+                        BenchReport::Number(figures.p50, 1),
+                        BenchReport::Number(figures.p99, 1),
+                        BenchReport::Number(100 * figures.modest_share, 1)});
+    }
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/routing/retry_bench.cc
@@ -0,0 +1,181 @@
+// policy_bench: retries after an outage, in simulated time.
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+
+#include "routing/bench_report.h"
+#include "routing/retry_budget.h"
+
+namespace pollenrudder {
+
+namespace {
+
+constexpr double kRate = 1000;
+constexpr double kCapacity = 1500;
+constexpr double kOutageStart = 20;
+constexpr double kOutageEnd = 30;
+constexpr double kRunSeconds = 90;
+constexpr double kDeadlineSeconds = 2;
+// A caller of an attempt that is not answered gives up after this time.
+constexpr double kTimeoutSeconds = 0.5;
+
+BootTime At(double seconds) {
+  return BootTime(
+      std::chrono::nanoseconds(static_cast<std::int64_t>(seconds * 1e9)));
+}
+
+struct Attempt {
+  double time = 0;
+  double arrived = 0;
+  std::uint32_t number = 0;
+
+  bool operator<(const Attempt& other) const { return time > other.time; }
+};
+
+// Returns the delay before a retry, or a negative number for none.
+using RetryRule = std::function<double(const Attempt&, double now)>;
+
+struct RetryFigures {
+  // Attempts/s in the worst second after the outage over those before it.
+  double peak_ratio = 0;
+  // The same over the ten seconds after the outage.
+  double mean_ratio = 0;
+  // Attempts/s during the outage over those before it.
+  double outage_ratio = 0;
+  // Seconds from the end of the outage until 99 % are answered.
+  double recovery = 0;
+  double answered_share = 0;
+};
+
+// Open arrivals to one server with a queue in order of arrival. Attempts that
+// have timed out still use the server, as without cancellation.
+RetryFigures Simulate(const RetryRule& rule,
+                      const std::function<void(double)>& arrival,
+                      std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::exponential_distribution<double> gap(kRate);
+  std::priority_queue<Attempt> attempts;
+  std::vector<double> sent(static_cast<std::size_t>(kRunSeconds) + 5, 0);
+  std::vector<double> arrived(sent.size(), 0);
+  std::vector<double> answered(sent.size(), 0);
+  double next_arrival = gap(random);
+  double server_free = 0;
+  while (next_arrival < kRunSeconds || !attempts.empty()) {
+    Attempt attempt;
+    if (attempts.empty() || next_arrival < attempts.top().time) {
+      if (next_arrival >= kRunSeconds) {
+        next_arrival = kRunSeconds * 10;
+        continue;
+      }
+      attempt = {next_arrival, next_arrival, 1};
+      arrival(next_arrival);
+      ++arrived[static_cast<std::size_t>(attempt.time)];
+      next_arrival += gap(random);
+    } else {
+      attempt = attempts.top();
+      attempts.pop();
+    }
+    const double now = attempt.time;
+    if (now < kRunSeconds)
+      ++sent[static_cast<std::size_t>(now)];
+    const bool down = now >= kOutageStart && now < kOutageEnd;
+    double failed_at = now + 0.001;
+    if (!down) {
+      server_free = std::max(server_free, now) + 1 / kCapacity;
+      if (server_free - now <= kTimeoutSeconds &&
+          server_free - attempt.arrived <= kDeadlineSeconds) {
+        ++answered[static_cast<std::size_t>(attempt.arrived)];
+        continue;
+      }
+      failed_at = now + kTimeoutSeconds;
+    }
+    const double delay = rule(attempt, failed_at);
+    const double again = failed_at + delay;
+    if (delay >= 0 && again - attempt.arrived < kDeadlineSeconds)
+      attempts.push({again, attempt.arrived, attempt.number + 1});
+  }
+  const auto rate = [&](double from, double to) {
+    double sum = 0;
+    for (auto second = static_cast<std::size_t>(from);
+         second < static_cast<std::size_t>(to); ++second)
+      sum += sent[second];
+    return sum / (to - from);
+  };
+  RetryFigures figures;
+  const double before = rate(5, kOutageStart);
+  const auto end = static_cast<std::size_t>(kOutageEnd);
+  for (std::size_t second = end; second < end + 10; ++second)
+    figures.peak_ratio = std::max(figures.peak_ratio, sent[second] / before);
+  figures.mean_ratio = rate(kOutageEnd, kOutageEnd + 10) / before;
+  figures.outage_ratio = rate(kOutageStart, kOutageEnd) / before;
+  double all = 0;
+  double good = 0;
+  for (std::size_t second = end; second < kRunSeconds; ++second) {
+    all += arrived[second];
+    good += answered[second];
+    if (answered[second] < 0.99 * arrived[second])
+      figures.recovery = static_cast<double>(second - end) + 1;
+  }
+  figures.answered_share = good / all;
+  return figures;
+}
+
+}  // namespace
+
+void RunRetryBench() {
+  BenchReport::Title(
+      "Retries: 1000 requests/s, capacity 1500/s, outage of 10 s, timeout "
+      "0.5 s, deadline 2 s");
+  BenchReport::Head({"policy", "attempts/s during the outage / before",
+                     "worst second after / before", "10 s after / before",
+                     "recovered after s", "answered after the outage (%)"});
+  struct Option {
+    std::string name;
+    RetryRule rule;
+    std::function<void(double)> arrival;
+  };
+  const auto nothing = [](double) {};
+  std::vector<Option> options;
+  options.push_back(
+      {"no retries", [](const Attempt&, double) { return -1.0; }, nothing});
+  options.push_back({"3 retries at once",
+                     [](const Attempt& attempt, double) {
+                       return attempt.number <= 3 ? 0.0 : -1.0;
+                     },
+                     nothing});
+  options.push_back({"3 retries, exponential delay from 100 ms, no jitter",
+                     [](const Attempt& attempt, double) {
+                       return attempt.number <= 3
+                                  ? 0.1 * (1 << (attempt.number - 1))
+                                  : -1.0;
+                     },
+                     nothing});
+  options.push_back({"until the deadline, 50 ms apart",
+                     [](const Attempt&, double) { return 0.05; }, nothing});
+  for (const double share : {0.05, 0.10, 0.20, 0.50}) {
+    const auto budget =
+        std::make_shared<RetryBudget>(RetryBudget::Options{.share = share}, 1);
+    options.push_back(
+        {"budget " + BenchReport::Number(100 * share, 0) + " %, jitter",
+         [budget](const Attempt& attempt, double now) {
+           const auto delay = budget->TakeRetry(
+               attempt.number, At(now), At(attempt.arrived + kDeadlineSeconds));
+           return delay ? std::chrono::duration<double>(*delay).count() : -1.0;
+         },
+         [budget](double now) { budget->RecordRequest(At(now)); }});
+  }
+  for (const Option& option : options) {
+    const RetryFigures figures = Simulate(option.rule, option.arrival, 7);
+    BenchReport::Row({option.name, BenchReport::Number(figures.outage_ratio, 2),
+                      BenchReport::Number(figures.peak_ratio, 2),
+                      BenchReport::Number(figures.mean_ratio, 2),
+                      figures.recovery >= kRunSeconds - kOutageEnd
+                          ? "not within 60"
+                          : BenchReport::Number(figures.recovery, 0),
+                      BenchReport::Number(100 * figures.answered_share, 1)});
+  }
+}
+
+}  // namespace pollenrudder
