--- a/packages/routing/admission.cc
+++ b/packages/routing/admission.cc
@@ -13,6 +13,9 @@
 
 // The weight of a new sample in the mean service time.
 constexpr double kSampleWeight = 0.1;
+// The weight of a new sample in the ratio of actual to estimated waits.
+constexpr double kOvertakingWeight = 0.05;
+constexpr double kMaxOvertaking = 8;
 
 }  // namespace
 
@@ -84,13 +87,34 @@
   return ahead;
 }
 
+double Admission::WaitByQueue(std::uint64_t flow,
+                              bool suspects,
+                              BootTime now) const {
+  return SlotTimesAhead(flow, suspects, now) / SlotsAt(now) *
+         static_cast<double>(mean_service_time_.count());
+}
+
 std::chrono::nanoseconds Admission::EstimatedWait(std::uint64_t flow,
                                                   BootTime now) const {
   if (waiting_ == 0 && MayStart(false, now))
     return std::chrono::nanoseconds(0);
-  const double slot_times = SlotTimesAhead(flow, false, now) / SlotsAt(now);
-  return std::chrono::nanoseconds(static_cast<std::int64_t>(
-      slot_times * static_cast<double>(mean_service_time_.count())));
+  return std::chrono::nanoseconds(
+      static_cast<std::int64_t>(overtaking_ * WaitByQueue(flow, false, now)));
+}
+
+void Admission::LearnFromWait(const Waiting& waiting, BootTime now) {
+  if (waiting.by_queue <= 0)
+    return;
+  const double ratio =
+      static_cast<double>((now - waiting.since).count()) / waiting.by_queue;
+  overtaking_ += kOvertakingWeight *
+                 (std::clamp(ratio, 0.0, kMaxOvertaking) - overtaking_);
+}
+
+bool Admission::IsHopeless(const AdmissionRequest& request,
+                           BootTime now) const {
+  // With no other request running, the time of this one corrects the mean.
+  return !running_.empty() && request.deadline - now < mean_service_time_;
 }
 
 Admission::Decision Admission::Submit(const AdmissionRequest& request,
@@ -103,11 +127,10 @@
     Start(request, now);
     return {AdmissionResult::kStart, std::nullopt};
   }
-  const double slot_times =
-      SlotTimesAhead(request.flow, request.suspect, now) / SlotsAt(now);
+  const double by_queue = WaitByQueue(request.flow, request.suspect, now);
   // The request has to be served within its deadline, not only started.
-  const double needed =
-      (slot_times + 1) * static_cast<double>(mean_service_time_.count());
+  const double needed = std::max(overtaking_, 1.0) * by_queue +
+                        static_cast<double>(mean_service_time_.count());
   if (needed > static_cast<double>((request.deadline - now).count()))
     return {AdmissionResult::kWaitTooLong, std::nullopt};
   Decision decision;
@@ -117,11 +140,13 @@
     if (!decision.displaced)
       return {AdmissionResult::kQueueFull, std::nullopt};
   }
-  Enqueue(request);
+  Enqueue(request, now, by_queue);
   return decision;
 }
 
-void Admission::Enqueue(const AdmissionRequest& request) {
+void Admission::Enqueue(const AdmissionRequest& request,
+                        BootTime now,
+                        double by_queue) {
   auto found =
       std::find_if(flows_.begin(), flows_.end(), [&](const Flow& flow) {
         return flow.suspects == request.suspect &&
@@ -131,7 +156,7 @@
     flows_.push_back(Flow{request.flow, request.suspect, {}});
     found = std::prev(flows_.end());
   }
-  found->queue.push_back(request);
+  found->queue.push_back({request, now, by_queue});
   ++waiting_;
   earliest_deadline_ = std::min(earliest_deadline_, request.deadline);
 }
@@ -143,7 +168,7 @@
       });
   if (largest == flows_.end() || largest->queue.size() <= own_waiting + 1)
     return std::nullopt;
-  const std::uint64_t ticket = largest->queue.back().ticket;
+  const std::uint64_t ticket = largest->queue.back().request.ticket;
   largest->queue.pop_back();
   --waiting_;
   return ticket;
@@ -155,15 +180,16 @@
   earliest_deadline_ = BootTime::max();
   std::optional<std::uint64_t> expired;
   for (auto flow = flows_.begin(); flow != flows_.end();) {
-    for (auto request = flow->queue.begin(); request != flow->queue.end();) {
-      if (!expired && request->deadline <= now) {
-        expired = request->ticket;
-        request = flow->queue.erase(request);
+    for (auto waiting = flow->queue.begin(); waiting != flow->queue.end();) {
+      if (!expired && waiting->request.deadline <= now) {
+        expired = waiting->request.ticket;
+        waiting = flow->queue.erase(waiting);
         --waiting_;
         continue;
       }
-      earliest_deadline_ = std::min(earliest_deadline_, request->deadline);
-      ++request;
+      earliest_deadline_ =
+          std::min(earliest_deadline_, waiting->request.deadline);
+      ++waiting;
     }
     flow = flow->queue.empty() ? flows_.erase(flow) : std::next(flow);
   }
@@ -175,15 +201,18 @@
     return Verdict{*expired, AdmissionResult::kDeadline};
   if (flows_.empty() || !MayStart(flows_.front().suspects, now))
     return std::nullopt;
-  const AdmissionRequest request = flows_.front().queue.front();
+  const Waiting waiting = flows_.front().queue.front();
   flows_.front().queue.pop_front();
   --waiting_;
   if (flows_.front().queue.empty())
     flows_.pop_front();
   else
     flows_.splice(flows_.end(), flows_, flows_.begin());
-  Start(request, now);
-  return Verdict{request.ticket, AdmissionResult::kStart};
+  LearnFromWait(waiting, now);
+  if (IsHopeless(waiting.request, now))
+    return Verdict{waiting.request.ticket, AdmissionResult::kDeadline};
+  Start(waiting.request, now);
+  return Verdict{waiting.request.ticket, AdmissionResult::kStart};
 }
 
 void Admission::Finished(std::uint64_t ticket, SlotEnd end, BootTime now) {
@@ -215,8 +244,8 @@
 bool Admission::Cancel(std::uint64_t ticket) {
   for (auto flow = flows_.begin(); flow != flows_.end(); ++flow) {
     const auto found = std::find_if(flow->queue.begin(), flow->queue.end(),
-                                    [&](const AdmissionRequest& request) {
-                                      return request.ticket == ticket;
+                                    [&](const Waiting& waiting) {
+                                      return waiting.request.ticket == ticket;
                                     });
     if (found == flow->queue.end())
       continue;
@@ -238,8 +267,8 @@
   std::vector<std::uint64_t> tickets;
   tickets.reserve(waiting_);
   for (const Flow& flow : flows_) {
-    for (const AdmissionRequest& request : flow.queue)
-      tickets.push_back(request.ticket);
+    for (const Waiting& waiting : flow.queue)
+      tickets.push_back(waiting.request.ticket);
   }
   flows_.clear();
   waiting_ = 0;
--- a/packages/routing/admission.h
+++ b/packages/routing/admission.h
@@ -50,6 +50,8 @@
 //   - Requests that wait are taken in turn by flow, in order within a flow. A
 //     full queue makes room for a flow with fewer waiting requests than the
 //     largest flow by refusing the newest request of that flow.
+//   - A request that waits is refused as soon as it could not be answered in
+//     time any more, so that no slot is spent on it.
 //   - A suspect request runs alone: when its turn comes, nothing starts until
 //     the others have ended and it has run.
 //   - After SetCold(), the slots in use grow from one to all over `ramp_up`.
@@ -118,10 +120,17 @@
  private:
   // Suspects of all flows form one flow of their own, so that they take turns
   // with the others.
+  struct Waiting {
+    AdmissionRequest request;
+    BootTime since;
+    // The wait estimated by the requests ahead alone, in nanoseconds.
+    double by_queue = 0;
+  };
+
   struct Flow {
     std::uint64_t id = 0;
     bool suspects = false;
-    std::deque<AdmissionRequest> queue;
+    std::deque<Waiting> queue;
   };
   using FlowList = std::list<Flow>;
 
@@ -133,7 +142,12 @@
   const Flow* FindFlow(std::uint64_t id, bool suspects) const;
   bool MayStart(bool suspect, BootTime now) const;
   void Start(const AdmissionRequest& request, BootTime now);
-  void Enqueue(const AdmissionRequest& request);
+  // The wait by the requests ahead alone, in nanoseconds.
+  double WaitByQueue(std::uint64_t flow, bool suspects, BootTime now) const;
+  // True if a waiting request would start too late to be answered in time.
+  bool IsHopeless(const AdmissionRequest& request, BootTime now) const;
+  void Enqueue(const AdmissionRequest& request, BootTime now, double by_queue);
+  void LearnFromWait(const Waiting& waiting, BootTime now);
   // The slot times that a new request of the flow waits for.
   double SlotTimesAhead(std::uint64_t flow, bool suspects, BootTime now) const;
   std::uint32_t ShedSlotsAt(BootTime now) const;
@@ -148,6 +162,9 @@
   // By ticket. Invariant: if one entry is a suspect, it is the only one.
   std::unordered_map<std::uint64_t, Running> running_;
   std::chrono::nanoseconds mean_service_time_{0};
+  // Actual wait / wait by the queue, recently. Above 1 while requests of other
+  // flows that arrive later take their turns first.
+  double overtaking_ = 1;
   std::optional<BootTime> cold_since_;
   // Slots taken out of use by shed requests at shed_at_; one comes back after
   // each shed_pause.
--- a/packages/routing/admission_test.cc
+++ b/packages/routing/admission_test.cc
@@ -102,6 +102,24 @@
   CHECK(admission.SlotsAt(At(5200)) == 5);
 }
 
+// Guards against slots spent on requests whose callers have given up when the
+// answer comes.
+TEST_CASE("A request that can't be answered in time is not started") {
+  Admission admission({.slots = 2});
+  admission.Submit(Request(1), At(0));
+  admission.Finished(1, SlotEnd::kAnswered, At(100));
+  admission.Submit(Request(2), At(100));
+  admission.Submit(Request(3), At(100));
+  CHECK(admission.Submit(Request(4, 0, 300), At(100)).result ==
+        AdmissionResult::kQueued);
+  admission.Finished(2, SlotEnd::kAnswered, At(250));
+  const auto verdict = admission.Next(At(250));
+  REQUIRE(verdict);
+  CHECK(verdict->ticket == 4);
+  CHECK(verdict->result == AdmissionResult::kDeadline);
+  CHECK(admission.in_flight() == 1);
+}
+
 // Guards against work that waits although a slot has come into use and no
 // other event follows.
 TEST_CASE("NextWakeUp covers deadlines and growing slots") {
--- a/packages/routing/choice_bench.cc
+++ b/packages/routing/choice_bench.cc
@@ -66,6 +66,7 @@
                    const MakeChooser& make,
                    std::uint64_t seed)
       : scenario_(scenario), random_(seed), upstreams_(kUpstreams) {
+    choosers_.reserve(kSenders);
     const auto reported = [this](const std::string& name) {
       return upstreams_[IndexOf(name)].reported;
     };
@@ -101,6 +102,7 @@
 
   void List(int count) {
     std::vector<ChoiceUpstream> list;
+    list.reserve(count);
     for (int i = 0; i < count; ++i)
       list.push_back({"u" + std::to_string(i), "zone", "region", false});
     for (auto& chooser : choosers_)
@@ -143,7 +145,9 @@
         for (int i = 0; i < kUpstreams; ++i) {
           const bool lies = scenario_ == Scenario::kLying && Disturbed(i);
           upstreams_[i].reported =
-              lies ? 0 : upstreams_[i].busy + upstreams_[i].waiting.size();
+              lies ? 0
+                   : upstreams_[i].busy +
+                         static_cast<double>(upstreams_[i].waiting.size());
         }
         if (now_ < kRunSeconds)
           Schedule(now_ + 1, EventKind::kReport, 0);
--- a/packages/routing/cost_bench.cc
+++ b/packages/routing/cost_bench.cc
@@ -25,6 +25,7 @@
                        std::uint32_t shards) {
   RoutingTable table;
   table.offset = 1;
+  table.upstreams.reserve(std::size_t{services} * upstreams_each);
   for (std::uint32_t s = 0; s < services; ++s) {
     RoutedService service;
     service.settings.name = "service-" + std::to_string(s);
@@ -45,6 +46,8 @@
       upstream.leader_address = "10.0.1.1:8081";
       table.upstreams.push_back(std::move(upstream));
     }
+    service.shard_owners.reserve(shards);
+    service.shard_offsets.reserve(shards);
     for (std::uint32_t shard = 0; shard < shards; ++shard) {
       service.shard_owners.push_back(
           service.upstreams[shard % service.upstreams.size()]);
--- a/packages/routing/placement_bench.cc
+++ b/packages/routing/placement_bench.cc
@@ -24,9 +24,9 @@
 };
 
 const std::vector<Deployment>& Deployments() {
-  static const std::vector<Deployment> kDeployments = {
+  static const std::vector<Deployment> deployments = {
       {"Lochmoor geodata, 9", 9}, {"Cumbre carta, 15", 15}};
-  return kDeployments;
+  return deployments;
 }
 
 // Lets the planner see the load without moving anything.
@@ -56,7 +56,7 @@
     model.SetZipfRates(kKeys, seed);
     Observe(model, seconds(30));
     model.Place(policy);
-    const seconds settle(planner ? 180 : 0);
+    const seconds settle(planner ? 300 : 0);
     model.Run(settle);
     sum.imbalance += kShare * model.Imbalance();
     sum.held += kShare * static_cast<double>(model.ShardsOf(2));
@@ -93,7 +93,7 @@
       {"modulo", &modulo, false, 0},
       {"rendezvous", &rendezvous, false, 0},
       {"ring bounded by load 1.15", &ring, false, 0},
-      {"spread alone", &spread, false, 0},
+      {"spread alone (loads not known at first)", &spread, false, 0},
       {"spread + planner, no filling", &spread, true, 0},
       {"spread + planner, fill below 0.5", &spread, true, 0.5}};
   for (const Deployment& deployment : Deployments()) {
@@ -173,21 +173,28 @@
 }
 
 std::vector<BalanceOption> BalanceOptions() {
-  static const BoundedRingPlacement kRing(1.15);
+  static const BoundedRingPlacement ring(1.15);
   std::vector<BalanceOption> options;
   options.push_back({.name = "placed once, no planner", .planned = false});
   options.push_back({.name = "ring bounded 1.15, anew every 10 s",
-                     .policy = &kRing,
+                     .policy = &ring,
                      .planned = false});
   options.push_back({.name = "15 %, dwell 60 s (default)"});
   options.push_back(
       {.name = "same, no limit per plan", .options = {.share_per_plan = 1}});
   options.push_back(
       {.name = "same, no move cost", .options = {.move_cost = 0}});
+  for (const double cost : {0.005, 0.01}) {
+    options.push_back(
+        {.name = "same, move cost " + BenchReport::Number(100 * cost, 1) + " %",
+         .options = {.move_cost = cost}});
+  }
   options.push_back(
       {.name = "same, move cost 2 %", .options = {.move_cost = 0.02}});
-  options.push_back({.name = "same, load window 4 s",
-                     .options = {.load_window = seconds(4)}});
+  options.push_back({.name = "same, load window 10 s",
+                     .options = {.load_window = seconds(10)}});
+  options.push_back({.name = "same, load window 2 s",
+                     .options = {.load_window = seconds(2)}});
   options.push_back({.name = "same, load window 30 s",
                      .options = {.load_window = seconds(30)}});
   options.push_back({.name = "15 %, no dwell", .dwell_seconds = 0});
@@ -204,9 +211,38 @@
   return options;
 }
 
+// Moves under a load that does not change, once it is balanced: caused by the
+// noise of the counts alone.
+void RunSteadyBench() {
+  BenchReport::Title(
+      "Steady load: moves in 30 minutes after 5 minutes of balancing, Cumbre "
+      "carta, mean of 5 seeds");
+  BenchReport::Head({"requests/s of the service", "load window s",
+                     "moves in 30 min", "load, mean of max/mean",
+                     "time above 1.15 (%)"});
+  for (const double rate : {300.0, 600.0, 6000.0}) {
+    for (const std::int64_t window : {2, 4, 10, 30}) {
+      PlannerModel::Summary sum;
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        PlannerModel model(15, kShards, seed, {.load_window = seconds(window)});
+        model.SetServiceRate(rate);
+        model.SetZipfRates(kKeys, seed);
+        model.Run(seconds(300));
+        AddTo(sum, model.Run(seconds(1800)), 1.0 / kSeeds);
+      }
+      BenchReport::Row(
+          {BenchReport::Number(rate, 0), std::to_string(window),
+           BenchReport::Number(static_cast<double>(sum.moves) / kSeeds, 1),
+           BenchReport::Number(sum.mean_imbalance, 3),
+           BenchReport::Number(100 * sum.share_above_target, 1)});
+    }
+  }
+}
+
 }  // namespace
 
 void RunBalanceBench() {
+  RunSteadyBench();
   BenchReport::Title(
       "Balance: 30 minutes, the 45 hottest keys change every 3 minutes, mean "
       "of 5 seeds");
--- a/packages/routing/planner.cc
+++ b/packages/routing/planner.cc
@@ -6,6 +6,7 @@
 #include <cassert>
 #include <cmath>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace pollenrudder {
@@ -17,6 +18,14 @@
 constexpr std::uint32_t kPlansAbove = 2;
 // Rates reported within this time after a move cover the interval before it.
 constexpr std::chrono::nanoseconds kSettle = std::chrono::seconds(4);
+// A heavy shard is taken from an upstream whose other shards keep at least this
+// share of the mean load there: alone it would only move the problem.
+constexpr double kLeastRemainder = 0.25;
+// The threshold is at least this many standard deviations of an upstream's load
+// average. With a fixed window of 4 s, a service of 300 requests/s on 15
+// upstreams had 1867 moves in 30 minutes of steady load.
+constexpr double kDeviations = 5;
+constexpr double kMaxWindowSeconds = 60;
 // Bounds the work of one plan.
 constexpr std::size_t kMaxMoves = 64;
 
@@ -76,11 +85,12 @@
     if (owner < owned.size())
       owned[owner].push_back(shard);
   }
+  const double window = LoadWindow(service, now);
   for (const std::uint32_t upstream : service.upstreams) {
     const auto found = reports_.find(table.upstreams[upstream].name);
     if (found == reports_.end() || !found->second.fresh)
       continue;
-    ApplyReport(found->second, owned[upstream], now);
+    ApplyReport(found->second, owned[upstream], window, now);
     found->second.fresh = false;
   }
   std::erase_if(reports_, [&](const auto& entry) {
@@ -88,8 +98,25 @@
   });
 }
 
+double Planner::LoadWindow(const RoutedService& service, BootTime now) const {
+  double rate = 0;
+  for (const auto& [name, report] : reports_) {
+    if (now - report.at <= options_.report_lifetime)
+      rate += report.work.requests_per_second;
+  }
+  const double window = Seconds(options_.load_window);
+  const double threshold = service.settings.imbalance_percent / 100.0;
+  if (rate <= 0 || threshold <= 0)
+    return window;
+  const double rate_each = rate / static_cast<double>(reports_.size());
+  // An average with time constant w covers about 2 w x rate requests.
+  const double needed = std::pow(kDeviations / threshold, 2) / (2 * rate_each);
+  return std::max(window, std::min(needed, kMaxWindowSeconds));
+}
+
 void Planner::ApplyReport(const UpstreamReport& report,
                           const std::vector<std::uint32_t>& owned,
+                          double window,
                           BootTime now) {
   // Per owned shard: its listed rate, or the mean of those that are not listed.
   std::vector<double> rates(owned.size(), -1);
@@ -109,7 +136,7 @@
       unlisted > 0 ? std::max(rest, 0.0) / static_cast<double>(unlisted) : 0;
   const double interval =
       report.previous_at ? Seconds(report.at - *report.previous_at) : 0;
-  const double weight = 1 - std::exp(-interval / Seconds(options_.load_window));
+  const double weight = 1 - std::exp(-interval / window);
   for (std::size_t i = 0; i < owned.size(); ++i) {
     ShardState& state = shards_[owned[i]];
     const double rate = rates[i] < 0 ? rest_each : rates[i];
@@ -136,7 +163,7 @@
     if (upstream.leaving || !HasReport(upstream, now))
       continue;
     bin_of[index] = bins.size();
-    bins.push_back({index, 0, {}, false});
+    bins.push_back({index, 0, 0, {}});
   }
   for (std::uint32_t shard = 0; shard < shards_.size(); ++shard) {
     const ShardState& state = shards_[shard];
@@ -147,6 +174,7 @@
       continue;
     Bin& bin = bins[bin_of[owner]];
     bin.load += state.load;
+    bin.heaviest = std::max(bin.heaviest, state.load);
     const bool dwells =
         state.moved && now - *state.moved < service.settings.dwell;
     if (!pending && !dwells)
@@ -183,6 +211,7 @@
   from.shards.erase(chosen);
   from.load -= state.load;
   to.load += state.load;
+  to.heaviest = std::max(to.heaviest, state.load);
   state.pending_target = to.upstream;
   state.pending_since = now;
   moves.push_back({shard, table.upstreams[from.upstream].name,
@@ -190,36 +219,72 @@
   return state.load;
 }
 
+bool Planner::SeparateHeavy(const Levels& levels,
+                            Bin& source,
+                            std::vector<Bin>& bins,
+                            const RoutingTable& table,
+                            BootTime now,
+                            std::vector<PlannedMove>& moves) {
+  // All shards that fit elsewhere have left the source.
+  const auto heavy = std::find_if(
+      source.shards.begin(), source.shards.end(), [&](std::uint32_t shard) {
+        return shards_[shard].load > source.load - levels.stop ||
+               shards_[shard].load > levels.stop - levels.mean;
+      });
+  if (heavy == source.shards.end())
+    return false;
+  const double load = shards_[*heavy].load;
+  if (source.load - load < kLeastRemainder * levels.mean)
+    return false;
+  Bin* target = nullptr;
+  for (Bin& bin : bins) {
+    if (&bin == &source || bin.heaviest + load > levels.stop)
+      continue;
+    if (!target || bin.load < target->load)
+      target = &bin;
+  }
+  return target &&
+         MoveOne(source, *target, load, load, table, now, moves).has_value();
+}
+
 void Planner::Balance(const Levels& levels,
                       std::vector<Bin>& bins,
                       const RoutingTable& table,
                       BootTime now,
                       std::vector<PlannedMove>& moves) {
-  const auto by_load = [](const Bin& left, const Bin& right) {
-    return left.load < right.load;
-  };
+  // Ordered by load, since there can be thousands of upstreams. Sources leave
+  // their set when none of their shards can be moved.
+  std::set<std::pair<double, std::size_t>> targets;
+  for (std::size_t i = 0; i < bins.size(); ++i)
+    targets.emplace(bins[i].load, i);
+  std::set<std::pair<double, std::size_t>> sources(
+      targets.lower_bound({levels.stop, 0}), targets.end());
+  const double least = options_.move_cost * levels.mean;
   double budget = options_.share_per_plan * levels.total;
-  while (moves.size() < kMaxMoves) {
-    const auto source = std::max_element(
-        bins.begin(), bins.end(), [](const Bin& left, const Bin& right) {
-          return std::pair(!left.exhausted, left.load) <
-                 std::pair(!right.exhausted, right.load);
-        });
-    const auto target = std::min_element(bins.begin(), bins.end(), by_load);
-    if (source->exhausted || source->load <= levels.stop)
-      return;
+  while (moves.size() < kMaxMoves && !sources.empty()) {
+    const auto [source_load, source] = *sources.rbegin();
+    const auto [target_load, target] = *targets.begin();
     double most =
-        std::min(source->load - levels.mean, levels.stop - target->load);
+        std::min(source_load - levels.mean, levels.stop - target_load);
     // The first move may exceed the budget: one shard can be heavier.
     if (!moves.empty())
       most = std::min(most, budget);
     const auto moved =
-        MoveOne(*source, *target, options_.move_cost * levels.mean, most, table,
-                now, moves);
+        MoveOne(bins[source], bins[target], least, most, table, now, moves);
+    if (!moved && moves.empty() && source_load > levels.high &&
+        SeparateHeavy(levels, bins[source], bins, table, now, moves)) {
+      return;
+    }
+    sources.erase({source_load, source});
     if (!moved)
-      source->exhausted = true;
-    else
-      budget -= *moved;
+      continue;
+    budget -= *moved;
+    targets.erase({source_load, source});
+    targets.erase({target_load, target});
+    targets.emplace(bins[source].load, source);
+    targets.emplace(bins[target].load, target);
+    if (bins[source].load > levels.stop)
+      sources.emplace(bins[source].load, source);
   }
 }
 
--- a/packages/routing/planner.h
+++ b/packages/routing/planner.h
@@ -35,8 +35,10 @@
 class Planner {
  public:
   struct Options {
-    // The time constant of the load average of a shard.
-    std::chrono::nanoseconds load_window = std::chrono::seconds(10);
+    // The time constant of the load average of a shard. It is lengthened for
+    // services with few requests, so that the noise of the counts does not
+    // reach the threshold.
+    std::chrono::nanoseconds load_window = std::chrono::seconds(4);
     // Reports older than this are missing.
     std::chrono::nanoseconds report_lifetime = std::chrono::seconds(8);
     // A planned move that is not seen in the table after this time is dropped.
@@ -91,10 +93,10 @@
     // Index into RoutingTable::upstreams.
     std::uint32_t upstream = 0;
     double load = 0;
+    // The load of its heaviest shard.
+    double heaviest = 0;
     // Movable shards, lightest first.
     std::vector<std::uint32_t> shards;
-    // No shard of this bin can be moved any more.
-    bool exhausted = false;
   };
 
   // The levels of one plan.
@@ -111,8 +113,11 @@
   void ApplyReports(const RoutingTable& table,
                     const RoutedService& service,
                     BootTime now);
+  // The time constant for the service's present request rate, in seconds.
+  double LoadWindow(const RoutedService& service, BootTime now) const;
   void ApplyReport(const UpstreamReport& report,
                    const std::vector<std::uint32_t>& owned,
+                   double window,
                    BootTime now);
   std::vector<Bin> FillBins(const RoutingTable& table,
                             const RoutedService& service,
@@ -122,6 +127,15 @@
                const RoutingTable& table,
                BootTime now,
                std::vector<PlannedMove>& moves);
+  // Two heavy shards share an upstream, and neither fits beside the load of
+  // another. Moves one to an upstream without heavy shards, which then gives
+  // its light shards away in the next plans.
+  bool SeparateHeavy(const Levels& levels,
+                     Bin& source,
+                     std::vector<Bin>& bins,
+                     const RoutingTable& table,
+                     BootTime now,
+                     std::vector<PlannedMove>& moves);
   void FillIdle(const Levels& levels,
                 std::vector<Bin>& bins,
                 const RoutingTable& table,
--- a/packages/routing/planner_model.cc
+++ b/packages/routing/planner_model.cc
@@ -69,7 +69,15 @@
     total += weight;
   }
   for (double& rate : rates_)
-    rate *= kRequestsPerSecond / total;
+    rate *= service_rate_ / total;
+}
+
+void PlannerModel::SetTwoHotShards(std::uint32_t first,
+                                   std::uint32_t second,
+                                   double share) {
+  SetEqualRates(service_rate_ * (1 - 2 * share));
+  rates_[first] = service_rate_ * share;
+  rates_[second] = service_rate_ * share;
 }
 
 void PlannerModel::SetLeaving(const std::string& upstream) {
--- a/packages/routing/planner_model.h
+++ b/packages/routing/planner_model.h
@@ -26,8 +26,6 @@
   // Keys whose shards change with the seed of SetZipfRates(): "the hottest 45
   // keys change within minutes".
   static constexpr std::uint32_t kHotKeys = 45;
-  // The rate of the whole service.
-  static constexpr double kRequestsPerSecond = 6000;
   static constexpr std::chrono::seconds kInterval{2};
 
   struct Move {
@@ -55,9 +53,13 @@
   // Settings that the planner uses from the next plan on.
   ServiceSettings& settings();
 
+  // The rate of the whole service; used by SetZipfRates().
+  void SetServiceRate(double rate) { service_rate_ = rate; }
   void SetEqualRates(double requests_per_second);
   // Zipf with exponent 1.0 over `keys` keys.
   void SetZipfRates(std::uint32_t keys, std::uint64_t seed);
+  // Two shards with this share of the load each, the others with equal rates.
+  void SetTwoHotShards(std::uint32_t first, std::uint32_t second, double share);
 
   Summary Run(std::chrono::seconds duration);
 
@@ -86,6 +88,7 @@
   Planner planner_;
   RoutingTable table_;
   std::mt19937_64 random_;
+  double service_rate_ = 6000;
   std::vector<double> rates_;
   std::set<std::string> silent_;
   bool drop_moves_ = false;
--- a/packages/routing/planner_test.cc
+++ b/packages/routing/planner_test.cc
@@ -32,6 +32,15 @@
   }
 }
 
+// Guards against two hot shards that stay on one upstream since neither fits
+// beside the load of another.
+TEST_CASE("Two hot shards are separated") {
+  PlannerModel model(15, 1024, 1);
+  model.SetTwoHotShards(0, 15, 0.06);
+  model.Run(seconds(120));
+  CHECK(model.Imbalance() <= 1.15);
+}
+
 // Guards against a storm: moves end when the load does not change.
 TEST_CASE("Steady load needs no moves once it is balanced") {
   PlannerModel model(8, 1024, 3);
@@ -40,6 +49,15 @@
   CHECK(model.Run(seconds(1800)).moves == 0);
 }
 
+// Guards against moves that only follow the noise of small counts.
+TEST_CASE("A service with few requests is left alone once it is balanced") {
+  PlannerModel model(15, 1024, 3);
+  model.SetServiceRate(300);
+  model.SetZipfRates(1000000, 3);
+  model.Run(seconds(600));
+  CHECK(model.Run(seconds(1800)).moves <= 20);
+}
+
 TEST_CASE("A shard stays for the dwell time") {
   PlannerModel model(8, 256, 5);
   model.settings().dwell = seconds(60);
--- a/packages/routing/quarantine_bench.cc
+++ b/packages/routing/quarantine_bench.cc
@@ -24,6 +24,8 @@
 struct QuarantineFigures {
   double lost_to_poison = 0;
   double lost_to_poison_worst = 0;
+  // After the quarantine has ended.
+  double lost_later = 0;
   double false_quarantines = 0;
   double refused = 0;
   double suspected = 0;
@@ -44,9 +46,9 @@
         crash_seconds_(crash_seconds),
         poison_twice_(poison_twice),
         random_(seed) {
-    std::vector<double> weights;
-    for (int i = 1; i <= kFingerprints; ++i)
-      weights.push_back(1.0 / i);
+    std::vector<double> weights(kFingerprints);
+    for (int i = 0; i < kFingerprints; ++i)
+      weights[i] = 1.0 / (i + 1);
     popular_ = std::discrete_distribution<std::uint64_t>(weights.begin(),
                                                          weights.end());
   }
@@ -59,9 +61,8 @@
           1 / crash_seconds_)
         Crash(InFlight());
       if (second == 300) {
-        std::vector<std::vector<std::uint64_t>> rack;
-        for (int upstream = 0; upstream < 3; ++upstream)
-          rack.push_back(InFlight());
+        const std::vector<std::vector<std::uint64_t>> rack = {
+            InFlight(), InFlight(), InFlight()};
         for (const auto& in_flight : rack)
           Crash(in_flight);
       }
@@ -135,7 +136,10 @@
       }
       in_flight.push_back(kPoison);
       crashes.push_back(in_flight);
-      ++figures_.lost_to_poison;
+      if (now_ < BootTime(std::chrono::seconds(480 + 600)))
+        ++figures_.lost_to_poison;
+      else
+        ++figures_.lost_later;
     }
     for (const auto& in_flight : crashes)
       Crash(in_flight);
@@ -159,8 +163,9 @@
       "rack of 3 lost at minute 5, a request that crashes upstreams from "
       "minute 8, mean of 50 seeds");
   BenchReport::Head({"other crashes every", "first sent on", "rule",
-                     "upstreams lost to the request", "worst",
-                     "fingerprints suspected", "false quarantines",
+                     "upstreams lost to the request in 10 min", "worst",
+                     "lost to it later", "fingerprints suspected",
+                     "false quarantines",
                      "requests refused wrongly of 240,000"});
   const std::vector<std::pair<std::string, Rule>> rules = {
       {"first crash quarantines", Rule::kFirstCrash},
@@ -175,6 +180,7 @@
           const QuarantineFigures figures =
               QuarantineSimulation(rule, crash_seconds, twice, seed).Run();
           sum.lost_to_poison += figures.lost_to_poison / kSeeds;
+          sum.lost_later += figures.lost_later / kSeeds;
           sum.lost_to_poison_worst =
               std::max(sum.lost_to_poison_worst, figures.lost_to_poison);
           sum.false_quarantines += figures.false_quarantines / kSeeds;
@@ -185,6 +191,7 @@
                           twice ? "2 upstreams at once" : "1 upstream", name,
                           BenchReport::Number(sum.lost_to_poison, 2),
                           BenchReport::Number(sum.lost_to_poison_worst, 0),
+                          BenchReport::Number(sum.lost_later, 2),
                           BenchReport::Number(sum.suspected, 1),
                           BenchReport::Number(sum.false_quarantines, 2),
                           BenchReport::Number(sum.refused, 0)});
--- a/packages/routing/retry_bench.cc
+++ b/packages/routing/retry_bench.cc
@@ -50,9 +50,12 @@
 };
 
 // Open arrivals to one server with a queue in order of arrival. Attempts that
-// have timed out still use the server, as without cancellation.
+// have timed out still use the server, as without cancellation. A `frozen`
+// server lets attempts time out during the outage; otherwise it refuses them at
+// once.
 RetryFigures Simulate(const RetryRule& rule,
                       const std::function<void(double)>& arrival,
+                      bool frozen,
                       std::uint64_t seed) {
   std::mt19937_64 random(seed);
   std::exponential_distribution<double> gap(kRate);
@@ -81,7 +84,7 @@
     if (now < kRunSeconds)
       ++sent[static_cast<std::size_t>(now)];
     const bool down = now >= kOutageStart && now < kOutageEnd;
-    double failed_at = now + 0.001;
+    double failed_at = now + (frozen ? kTimeoutSeconds : 0.001);
     if (!down) {
       server_free = std::max(server_free, now) + 1 / kCapacity;
       if (server_free - now <= kTimeoutSeconds &&
@@ -112,7 +115,8 @@
   figures.outage_ratio = rate(kOutageStart, kOutageEnd) / before;
   double all = 0;
   double good = 0;
-  for (std::size_t second = end; second < kRunSeconds; ++second) {
+  for (std::size_t second = end; second < static_cast<std::size_t>(kRunSeconds);
+       ++second) {
     all += arrived[second];
     good += answered[second];
     if (answered[second] < 0.99 * arrived[second])
@@ -122,20 +126,13 @@
   return figures;
 }
 
-}  // namespace
+struct Option {
+  std::string name;
+  RetryRule rule;
+  std::function<void(double)> arrival;
+};
 
-void RunRetryBench() {
-  BenchReport::Title(
-      "Retries: 1000 requests/s, capacity 1500/s, outage of 10 s, timeout "
-      "0.5 s, deadline 2 s");
-  BenchReport::Head({"policy", "attempts/s during the outage / before",
-                     "worst second after / before", "10 s after / before",
-                     "recovered after s", "answered after the outage (%)"});
-  struct Option {
-    std::string name;
-    RetryRule rule;
-    std::function<void(double)> arrival;
-  };
+std::vector<Option> Options() {
   const auto nothing = [](double) {};
   std::vector<Option> options;
   options.push_back(
@@ -166,15 +163,32 @@
          },
          [budget](double now) { budget->RecordRequest(At(now)); }});
   }
-  for (const Option& option : options) {
-    const RetryFigures figures = Simulate(option.rule, option.arrival, 7);
-    BenchReport::Row({option.name, BenchReport::Number(figures.outage_ratio, 2),
-                      BenchReport::Number(figures.peak_ratio, 2),
-                      BenchReport::Number(figures.mean_ratio, 2),
-                      figures.recovery >= kRunSeconds - kOutageEnd
-                          ? "not within 60"
-                          : BenchReport::Number(figures.recovery, 0),
-                      BenchReport::Number(100 * figures.answered_share, 1)});
+  return options;
+}
+
+}  // namespace
+
+void RunRetryBench() {
+  BenchReport::Title(
+      "Retries: 1000 requests/s, capacity 1500/s, outage of 10 s, timeout "
+      "0.5 s, deadline 2 s");
+  BenchReport::Head({"outage", "policy",
+                     "attempts/s during the outage / before",
+                     "worst second after / before", "10 s after / before",
+                     "recovered after s", "answered after the outage (%)"});
+  for (const bool frozen : {false, true}) {
+    for (const Option& option : Options()) {
+      const RetryFigures figures =
+          Simulate(option.rule, option.arrival, frozen, 7);
+      BenchReport::Row({frozen ? "frozen" : "refuses", option.name,
+                        BenchReport::Number(figures.outage_ratio, 2),
+                        BenchReport::Number(figures.peak_ratio, 2),
+                        BenchReport::Number(figures.mean_ratio, 2),
+                        figures.recovery >= kRunSeconds - kOutageEnd
+                            ? "not within 60"
+                            : BenchReport::Number(figures.recovery, 0),
+                        BenchReport::Number(100 * figures.answered_share, 1)});
+    }
   }
 }
 
--- a/packages/routing/two_choices.cc
+++ b/packages/routing/two_choices.cc
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr int kTiers = 3;
 // Share of the draws that a cold upstream takes part in at first.
 constexpr double kColdShare = 0.05;
 // Draws before a cold upstream is accepted anyway.
@@ -44,7 +43,8 @@
     const auto [found, added] = observed_.try_emplace(upstream.name);
     Observed& observed = found->second;
     observed.listed = true;
-    observed.added = observed.added || (added && !first_list);
+    if (added && !first_list)
+      added_.push_back(&observed);
     int tier = 2;
     if (upstream.zone == options_.zone)
       tier = 0;
@@ -52,10 +52,19 @@
       tier = 1;
     entries_.push_back({std::move(upstream), tier, &observed});
   }
+  std::stable_sort(entries_.begin(), entries_.end(),
+                   [](const Entry& left, const Entry& right) {
+                     return left.tier < right.tier;
+                   });
   // Requests in flight still end on an upstream that has left the list.
   std::erase_if(observed_, [](const auto& entry) {
     return !entry.second.listed && entry.second.in_flight == 0;
   });
+  std::erase_if(added_, [&](const Observed* added) {
+    return std::none_of(
+        entries_.begin(), entries_.end(),
+        [&](const Entry& entry) { return entry.observed == added; });
+  });
 }
 
 double TwoChoices::WarmShare(const Observed& observed, BootTime now) const {
@@ -84,22 +93,21 @@
     std::span<const std::string> tried,
     bool skip_paused) const {
   std::vector<const Entry*> usable;
-  for (int tier = 0; tier < kTiers; ++tier) {
-    bool has_room = false;
-    for (const Entry& entry : entries_) {
-      const Observed& observed = *entry.observed;
-      if (entry.tier != tier || entry.upstream.leaving)
-        continue;
-      if (skip_paused && observed.paused_until && now < *observed.paused_until)
-        continue;
-      if (std::find(tried.begin(), tried.end(), entry.upstream.name) !=
-          tried.end())
-        continue;
-      usable.push_back(&entry);
-      has_room = has_room || observed.in_flight < options_.spill_in_flight;
-    }
-    if (has_room)
+  bool has_room = false;
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    const Entry& entry = entries_[i];
+    if (has_room && entry.tier != entries_[i - 1].tier)
       break;
+    const Observed& observed = *entry.observed;
+    if (entry.upstream.leaving)
+      continue;
+    if (skip_paused && observed.paused_until && now < *observed.paused_until)
+      continue;
+    if (std::find(tried.begin(), tried.end(), entry.upstream.name) !=
+        tried.end())
+      continue;
+    usable.push_back(&entry);
+    has_room = has_room || observed.in_flight < options_.spill_in_flight;
   }
   return usable;
 }
@@ -120,10 +128,8 @@
 
 const std::string* TwoChoices::Choose(BootTime now,
                                       std::span<const std::string> tried) {
-  for (const Entry& entry : entries_) {
-    if (std::exchange(entry.observed->added, false))
-      entry.observed->cold_since = now;
-  }
+  for (Observed* const observed : std::exchange(added_, {}))
+    observed->cold_since = now;
   std::vector<const Entry*> usable = Usable(now, tried, true);
   if (usable.empty())
     usable = Usable(now, tried, false);
--- a/packages/routing/two_choices.h
+++ b/packages/routing/two_choices.h
@@ -71,8 +71,6 @@
     std::optional<BootTime> paused_until;
     // The ramp-up starts here; without a value the upstream is warm.
     std::optional<BootTime> cold_since;
-    // Added since the last Choose(), which starts its ramp-up.
-    bool added = false;
     bool listed = false;
   };
 
@@ -99,7 +97,10 @@
 
   const Options options_;
   std::mt19937_64 random_;
+  // By tier.
   std::vector<Entry> entries_;
+  // Listed since the last Choose(), which starts their ramp-up.
+  std::vector<Observed*> added_;
   std::unordered_map<std::string, Observed> observed_;
   // The mean latency over all upstreams, assumed for one without an answer.
   double mean_latency_ = 0.001;
