State the exceptions of the planner and the ends of a run in the headers

Cause: the class comment of Planner left out the separation of heavy shards and the filling of idle upstreams, and two comments named a function Finish() that does not exist.

--- a/packages/routing/planner.h
+++ b/packages/routing/planner.h
@@ -32,6 +32,10 @@
 //   - the target stays below the level at which moves stop.
 // Moves stop at half the threshold, so that a small change of load does not
 // start them again at once (hysteresis).
+// Two moves are exceptions: a heavy shard that shares its upstream with another
+// one may go to a target that gives light shards away afterwards, and a nearly
+// idle upstream is filled without a threshold. docs/decisions/0003-placement.md
+// compares the options.
 class Planner {
  public:
   struct Options {
--- a/packages/routing/request_begin.h
+++ b/packages/routing/request_begin.h
@@ -13,7 +13,8 @@
 // What to do with a request that carries an id.
 struct RequestBegin {
   enum class Kind {
-    // Send it, and report the end with Finish().
+    // Send it, and report the end with FinishAnswered(), FinishNotRun() or
+    // FinishUnknown().
     kRun,
     // Answer with `answer`.
     kRepeatAnswered,
--- a/packages/routing/request_records.h
+++ b/packages/routing/request_records.h
@@ -24,7 +24,7 @@
 // upstream holds one object per upstream for as long as it is the leader:
 //   RequestId id = records.Issue(shard, epoch, now);
 //   RequestBegin begin = records.Begin(id, current_epoch, now);
-//   if (begin.kind == RequestBegin::Kind::kRun) { send; records.Finish(...); }
+//   if (begin.kind == RequestBegin::Kind::kRun) { send; then a Finish...(); }
 // A record stays for the lifetime of its id. When the limits are reached, new
 // ids are refused as not run, and records are never dropped early: a dropped
 // record would let its request run again.
