Let ClaimTracker time first and declared-lost claims

ClaimTracker timed only claims of voters, so a new upstream and a declared-lost leader had no rule for who claims first.

Ruled out: a separate class for these claims. They share the unresolved state and the promise rule with voters' claims.

Conclusion: all three ways to a term go through ClaimTracker.

--- a/packages/ownership/claim_tracker.cc
+++ b/packages/ownership/claim_tracker.cc
@@ -38,6 +38,12 @@
   return wait;
 }
 
+TermKind ClaimTracker::ClaimKind(const View& view) {
+  if (view.current == nullptr)
+    return TermKind::kFirst;
+  return view.open_since ? TermKind::kDeclaredLost : TermKind::kClaim;
+}
+
 bool ClaimTracker::IsVoter(const TermState& current) const {
   return std::any_of(
       current.voters.begin(), current.voters.end(),
@@ -65,18 +71,24 @@
 }
 
 std::optional<BootTime> ClaimTracker::ClaimTime(const View& view) const {
-  const TermState& current = view.current;
-  if (!IsVoter(current) || unresolved(current.upstream) || !readable_since_)
+  if (unresolved(view.upstream) || !readable_since_)
     return std::nullopt;
-  const auto read_at = term_read_at_.find(current.upstream);
-  if (read_at == term_read_at_.end())
+  if (ClaimKind(view) == TermKind::kClaim)
+    return VoterClaimTime(view);
+  if (!view.open_since)
     return std::nullopt;
-  // The leader of a new term needs the time of a promise to ask for the first.
-  BootTime silent_since =
-      read_at->second + durations_.Lengthened(durations_.promise);
+  BootTime time =
+      *view.open_since + kRankDelay * RendezvousRank(view.upstream, instance_,
+                                                     view.zone_instances);
+  // An instance of another zone takes over only if the upstream's zone has none
+  // that can.
+  if (std::find(view.zone_instances.begin(), view.zone_instances.end(),
+                instance_) == view.zone_instances.end()) {
+    time += kMinFarDelay;
+  }
   if (view.own_promise_end)
-    silent_since = std::max(silent_since, *view.own_promise_end);
-  return std::max(silent_since, *readable_since_) + OrderDelay(current);
+    time = std::max(time, *view.own_promise_end);
+  return time;
 }
 
 bool ClaimTracker::MayClaim(const View& view, BootTime now) const {
@@ -134,7 +146,20 @@
   });
 }
 
-std::chrono::nanoseconds ClaimTracker::OrderDelay(
+std::optional<BootTime> ClaimTracker::VoterClaimTime(const View& view) const {
+  const TermState& current = *view.current;
+  const auto read_at = term_read_at_.find(view.upstream);
+  if (!IsVoter(current) || read_at == term_read_at_.end())
+    return std::nullopt;
+  // The leader of a new term needs the time of a promise to ask for the first.
+  BootTime silent_since =
+      read_at->second + durations_.Lengthened(durations_.promise);
+  if (view.own_promise_end)
+    silent_since = std::max(silent_since, *view.own_promise_end);
+  return std::max(silent_since, *readable_since_) + VoterDelay(current);
+}
+
+std::chrono::nanoseconds ClaimTracker::VoterDelay(
     const TermState& current) const {
   std::vector<std::string> group;
   for (const Voter& voter : current.voters) {
--- a/packages/ownership/claim_tracker.h
+++ b/packages/ownership/claim_tracker.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/boot_clock.h"
 #include "base/log_offset.h"
@@ -29,9 +30,17 @@
  public:
   // What is known about an upstream when a claim is considered.
   struct View {
-    const TermState& current;
+    std::string upstream;
+    // The current term; null if the upstream has none yet.
+    const TermState* current = nullptr;
     // PromiseBook::RunsOutAt() of the upstream.
     std::optional<BootTime> own_promise_end;
+    // Since when this instance knows the upstream without a term, or the
+    // declaration that its leader is lost.
+    std::optional<BootTime> open_since;
+    // The live instances of the upstream's zone. Without a term, or after a
+    // declaration, they claim in the order of their rank; others come last.
+    std::vector<std::string> zone_instances;
   };
 
   // Zone peers claim one after another at this interval. It is longer than an
@@ -57,6 +66,9 @@
                                                const std::string& zone,
                                                const LeaseDurations& durations);
 
+  // The kind of claim for the view.
+  static TermKind ClaimKind(const View& view);
+
   // Whether `current` lists this instance as a voter.
   bool IsVoter(const TermState& current) const;
 
@@ -107,7 +119,8 @@
 
   bool ReadRecently(BootTime now) const;
   void Resolve(const std::string& record_id);
-  std::chrono::nanoseconds OrderDelay(const TermState& current) const;
+  std::optional<BootTime> VoterClaimTime(const View& view) const;
+  std::chrono::nanoseconds VoterDelay(const TermState& current) const;
 
   const std::string instance_;
   const std::string zone_;
--- a/packages/ownership/claim_tracker_test.cc
+++ b/packages/ownership/claim_tracker_test.cc
@@ -29,6 +29,14 @@
   return term;
 }
 
+// A view of the current term, with the end of the own promise.
+ClaimTracker::View ViewOf(const TermState& current,
+                          std::optional<BootTime> promise_end = std::nullopt) {
+  return {.upstream = kUpstream,
+          .current = &current,
+          .own_promise_end = promise_end};
+}
+
 ClaimTracker Reader(const std::string& instance, const std::string& zone) {
   ClaimTracker tracker(instance, zone, LeaseDurations());
   tracker.OnLogRead(At(milliseconds(0)), At(milliseconds(0)));
@@ -38,30 +46,33 @@
 
 // Guards against a claim of an instance whose promise the leader doesn't need.
 TEST_CASE("only a voter of the term may claim") {
+  const TermState current = Current();
   const ClaimTracker stranger = Reader("stranger.1", "a");
-  REQUIRE_FALSE(stranger.ClaimTime({Current(), std::nullopt}).has_value());
+  REQUIRE_FALSE(stranger.ClaimTime(ViewOf(current)).has_value());
   // A restarted instance has a new identity.
   const ClaimTracker restarted = Reader("near.2", "a");
-  REQUIRE_FALSE(restarted.ClaimTime({Current(), std::nullopt}).has_value());
+  REQUIRE_FALSE(restarted.ClaimTime(ViewOf(current)).has_value());
 }
 
 // Guards against a claim over a leader that is alive.
 TEST_CASE("a voter claims only after its promise has run out") {
   ClaimTracker near = Reader("near.1", "a");
-  const ClaimTracker::View view{Current(), At(milliseconds(2000))};
+  const TermState current = Current();
+  const ClaimTracker::View view = ViewOf(current, At(milliseconds(2000)));
   REQUIRE(near.ClaimTime(view) == At(milliseconds(2000)));
   near.OnLogRead(At(milliseconds(1900)), At(milliseconds(1950)));
   REQUIRE_FALSE(near.MayClaim(view, At(milliseconds(1999))));
   REQUIRE(near.MayClaim(view, At(milliseconds(2000))));
   // Without any promise, the new leader has the time of one promise to ask.
-  REQUIRE(near.ClaimTime({Current(), std::nullopt}) == At(milliseconds(909)));
+  REQUIRE(near.ClaimTime(ViewOf(current)) == At(milliseconds(909)));
 }
 
 // Guards against claims that stay unresolved because the log is down, which
 // would cost the leader its promises.
 TEST_CASE("no claim is sent without a recent read of the log") {
   ClaimTracker near = Reader("near.1", "a");
-  const ClaimTracker::View view{Current(), std::nullopt};
+  const TermState current = Current();
+  const ClaimTracker::View view = ViewOf(current);
   REQUIRE_FALSE(near.MayClaim(view, At(seconds(5))));
   REQUIRE(near.WantsLogRead(view, At(seconds(5))));
   near.OnLogReadFailed();
@@ -74,19 +85,40 @@
 // lost leader, so that the upstream waits for the hold.
 TEST_CASE("voters of other zones claim later, also after a log outage") {
   ClaimTracker far = Reader("far.1", "b");
-  const ClaimTracker::View view{Current(), std::nullopt};
+  const TermState current = Current();
+  const ClaimTracker::View view = ViewOf(current);
   REQUIRE(far.ClaimTime(view) == At(milliseconds(909 + 3000)));
   far.OnLogReadFailed();
   far.OnLogRead(At(seconds(100)), At(seconds(100)));
   REQUIRE(far.ClaimTime(view) == At(seconds(103)));
 }
 
+// Guards against an upstream that stays without a leader because nobody may
+// claim it, and against all instances claiming it at once.
+TEST_CASE("instances of the zone come first for a new or a lost term") {
+  const ClaimTracker inside = Reader("x.1", "a");
+  const ClaimTracker outside = Reader("y.1", "b");
+  const TermState current = Current();
+  ClaimTracker::View view = ViewOf(current);
+  view.open_since = At(seconds(7));
+  view.zone_instances = {"x.1"};
+  REQUIRE(ClaimTracker::ClaimKind(view) == TermKind::kDeclaredLost);
+  REQUIRE(inside.ClaimTime(view) == At(seconds(7)));
+  REQUIRE(outside.ClaimTime(view) >= At(seconds(9)));
+  view.own_promise_end = At(seconds(8));
+  REQUIRE(inside.ClaimTime(view) == At(seconds(8)));
+  view.current = nullptr;
+  REQUIRE(ClaimTracker::ClaimKind(view) == TermKind::kFirst);
+  REQUIRE(inside.ClaimTime(view) == At(seconds(8)));
+}
+
 // Guards against a claim that is forgotten while it may still reach the log.
 TEST_CASE("a claim stays unresolved until its outcome is read") {
+  const TermState current = Current();
   ClaimTracker near = Reader("near.1", "a");
   near.ClaimSent(kUpstream, 10, "claim-1", At(seconds(1)));
   REQUIRE(near.unresolved(kUpstream));
-  REQUIRE_FALSE(near.ClaimTime({Current(), std::nullopt}).has_value());
+  REQUIRE_FALSE(near.ClaimTime(ViewOf(current)).has_value());
   REQUIRE_FALSE(near.TakeAbandonDue(kUpstream, At(milliseconds(1999))));
   REQUIRE(near.TakeAbandonDue(kUpstream, At(seconds(2))) == "claim-1");
   REQUIRE_FALSE(near.TakeAbandonDue(kUpstream, At(milliseconds(2001))));
