Test the lease rules over random runs and add scripts/mutate

The model drives the rule classes with a fake log, cuts, pauses, crashes, handovers, revises and clocks that differ by up to the bound; the checks are one valid lease per upstream and, after the faults, a takeover within 2 s. scripts/mutate removes one rule at a time in a scratch copy.

Ruled out: clocks that differ by 1% only; 1% of a lease is shorter than a step of the model, so half of the runs use a bound and a difference of 10%.

Before: no property test.

--- a/packages/ownership/leader_lease.cc
+++ b/packages/ownership/leader_lease.cc
@@ -116,16 +116,11 @@
 }
 
 std::vector<Voter> LeaderLease::NeededVoters() const {
-  std::vector<Voter> voters = term_.voters;
-  if (!revise_)
-    return voters;
-  for (const Voter& voter : revise_->voters) {
-    const bool known = std::any_of(
-        voters.begin(), voters.end(),
-        [&](const Voter& other) { return other.instance == voter.instance; });
-    if (!known)
-      voters.push_back(voter);
-  }
+  std::vector<Voter> voters;
+  VisitNeededVoters([&](const Voter& voter) {
+    voters.push_back(voter);
+    return true;
+  });
   return voters;
 }
 
@@ -137,17 +132,22 @@
 }
 
 bool LeaderLease::HasAllPromises(BootTime now) const {
-  const std::vector<Voter> voters = NeededVoters();
-  return !voters.empty() && SilentVoters(now - durations_.promise).empty();
+  bool has_voter = false;
+  VisitNeededVoters([&](const Voter&) {
+    has_voter = true;
+    return false;
+  });
+  return has_voter && SilentVoters(now - durations_.promise).empty();
 }
 
 std::vector<std::string> LeaderLease::SilentVoters(BootTime limit) const {
   std::vector<std::string> silent;
-  for (const Voter& voter : NeededVoters()) {
+  VisitNeededVoters([&](const Voter& voter) {
     const auto promise = promises_.find(voter.instance);
     if (promise == promises_.end() || promise->second < limit)
       silent.push_back(voter.instance);
-  }
+    return true;
+  });
   return silent;
 }
 
@@ -159,22 +159,47 @@
 
 std::optional<BootTime> LeaderLease::OldestPromise(bool zone_peers) const {
   std::optional<BootTime> oldest;
-  for (const Voter& voter : NeededVoters()) {
+  VisitNeededVoters([&](const Voter& voter) {
     if ((voter.zone == term_.leader_zone) != zone_peers)
-      continue;
+      return true;
     const auto promise = promises_.find(voter.instance);
-    if (promise == promises_.end())
-      return std::nullopt;
+    if (promise == promises_.end()) {
+      oldest.reset();
+      return false;
+    }
     oldest = oldest ? std::min(*oldest, promise->second) : promise->second;
-  }
+    return true;
+  });
   return oldest;
 }
 
 bool LeaderLease::HasVoter(bool zone_peers) const {
-  const std::vector<Voter> voters = NeededVoters();
-  return std::any_of(voters.begin(), voters.end(), [&](const Voter& voter) {
-    return (voter.zone == term_.leader_zone) == zone_peers;
+  bool found = false;
+  VisitNeededVoters([&](const Voter& voter) {
+    found = (voter.zone == term_.leader_zone) == zone_peers;
+    return !found;
   });
+  return found;
+}
+
+bool LeaderLease::IsCurrentVoter(const Voter& voter) const {
+  return std::any_of(
+      term_.voters.begin(), term_.voters.end(),
+      [&](const Voter& other) { return other.instance == voter.instance; });
+}
+
+template <typename Visitor>
+void LeaderLease::VisitNeededVoters(Visitor visit) const {
+  for (const Voter& voter : term_.voters) {
+    if (!visit(voter))
+      return;
+  }
+  if (!revise_)
+    return;
+  for (const Voter& voter : revise_->voters) {
+    if (!IsCurrentVoter(voter) && !visit(voter))
+      return;
+  }
 }
 
 }  // namespace pollenrudder
--- a/packages/ownership/leader_lease.h
+++ b/packages/ownership/leader_lease.h
@@ -107,6 +107,11 @@
   // there is no such voter.
   std::optional<BootTime> OldestPromise(bool zone_peers) const;
   bool HasVoter(bool zone_peers) const;
+  // Whether `voter` is one of the replaced term's voters too.
+  bool IsCurrentVoter(const Voter& voter) const;
+  // Calls `visit` for each needed voter until it returns false.
+  template <typename Visitor>
+  void VisitNeededVoters(Visitor visit) const;
 
   TermState term_;
   const LeaseDurations durations_;
--- /dev/null
+++ b/scripts/mutations.py
@@ -0,0 +1,129 @@
+"""The mutations of scripts/mutate: each removes one safety rule."""
+
+import dataclasses
+
+OWNERSHIP = "packages/ownership/"
+
+
+@dataclasses.dataclass
+class Mutation:
+    name: str
+    meaning: str
+    # (file, old text, new text); the old text occurs once.
+    edits: list
+    # The test program, and the test case if not all of it.
+    target: str = "lease_property_test"
+    case: str = "an upstream never has two valid leases"
+
+
+MUTATIONS = [
+    Mutation(
+        "wait",
+        "a claimant is active as soon as it has read its claim",
+        [(OWNERSHIP + "leader_lease.cc",
+          "active_from_ = read_at + term_.wait;",
+          "active_from_ = read_at;")]),
+    Mutation(
+        "clock-rate-bound",
+        "waits are not lengthened for faster clocks",
+        [(OWNERSHIP + "lease_durations.h",
+          "(1.0 + clock_rate_bound)", "1.0")]),
+    Mutation(
+        "all-voters",
+        "a lease needs the promise of one zone peer and one far voter only",
+        [(OWNERSHIP + "leader_lease.cc",
+          "      oldest.reset();\n      return false;", "      return true;")]),
+    Mutation(
+        "zone-peers-without-hold",
+        "promises of zone peers keep a lease without a bound",
+        [(OWNERSHIP + "leader_lease.cc",
+          "std::min(near_end, *last_contact + IsolationHold())",
+          "near_end")]),
+    Mutation(
+        "promise-lapse",
+        "a voter claims while its promise runs",
+        [(OWNERSHIP + "claim_tracker.cc",
+          "    silent_since = std::max(silent_since, *view.own_promise_end);",
+          "    silent_since = read_at->second;"),
+         (OWNERSHIP + "leader_lease.cc",
+          "active_from_ = std::max(active_from_, *own_promise_end);",
+          "active_from_ = std::max(active_from_, read_at);")]),
+    Mutation(
+        "foreign-hold",
+        "a claim from another zone waits as short as one of a zone peer",
+        [(OWNERSHIP + "claim_tracker.cc",
+          "lease = std::max(lease, replaced.isolation_hold);", "")]),
+    Mutation(
+        "inherit-wait",
+        "a claim over a term that never was active doesn't take over its wait",
+        [(OWNERSHIP + "claim_tracker.cc",
+          "  if (!replaced.active)\n    wait = std::max(wait, replaced.wait);",
+          "")]),
+    Mutation(
+        "unresolved",
+        "a voter promises while its claim is unresolved",
+        [(OWNERSHIP + "promise_book.cc",
+          "if (view.claim_unresolved)", "if (false)")]),
+    Mutation(
+        "newer-term-known",
+        "a voter promises a term that it knows to be replaced",
+        [(OWNERSHIP + "promise_book.cc",
+          "  return requested.term != kNoOffset && "
+          "view.current->term < requested.term;",
+          "  return true;")]),
+    Mutation(
+        "voters-only",
+        "any instance may claim",
+        [(OWNERSHIP + "claim_tracker.cc",
+          "if (!IsVoter(current) || read_at", "if (read_at"),
+         (OWNERSHIP + "lease_model_table_test.cc",
+          "term.kind == TermKind::kClaim &&", "false &&")]),
+    Mutation(
+        "revise-old-voters",
+        "an unresolved revise needs the new voters only",
+        [(OWNERSHIP + "leader_lease.cc",
+          "  for (const Voter& voter : term_.voters) {\n    if (!visit(voter))",
+          "  for (const Voter& voter : term_.voters) {\n"
+          "    if (!revise_ && !visit(voter))"),
+         (OWNERSHIP + "leader_lease.cc",
+          "if (!IsCurrentVoter(voter) && !visit(voter))",
+          "if (!visit(voter))")]),
+    Mutation(
+        "revise-new-voters",
+        "an unresolved revise needs the old voters only",
+        [(OWNERSHIP + "leader_lease.cc",
+          "  if (!revise_)\n    return;\n", "  return;\n")]),
+    Mutation(
+        "revise-smaller-hold",
+        "an unresolved revise uses the old hold",
+        [(OWNERSHIP + "leader_lease.cc",
+          "  return std::min(term_.isolation_hold, revise_->isolation_hold);",
+          "  return term_.isolation_hold;")]),
+    Mutation(
+        "lease-from-after-read",
+        "a lease is measured from the answer of a read, not from its start",
+        [(OWNERSHIP + "lease_model_test.cc",
+          "lease.OnLogRead(asked_at, true,",
+          "lease.OnLogRead(Clock(reader), true,")]),
+    Mutation(
+        "lease-from-after-promise",
+        "a lease is measured from the answer of a voter, not from the request",
+        [(OWNERSHIP + "lease_model_instance_test.cc",
+          "led->second.OnPromise(name, asked_at, granted);",
+          "led->second.OnPromise(name, Clock(asker), granted);")]),
+    Mutation(
+        "cut-off-read",
+        "a read that did not reach the end of the log proves the lease",
+        [(OWNERSHIP + "lease_model_test.cc",
+          "        if (end < size)\n          return;\n", "")]),
+    Mutation(
+        "handover-without-stopping",
+        "a leader keeps its lease while its handover may take effect",
+        [(OWNERSHIP + "leader_lease.cc",
+          "if (ended_ || handing_over_)", "if (ended_)")]),
+    Mutation(
+        "abandoned-claim",
+        "a claim takes effect after its abandon",
+        [(OWNERSHIP + "lease_model_table_test.cc",
+          "|| abandoned_.contains(record.id)", "")]),
+]
