--- a/packages/peers/peer_server.cc
+++ b/packages/peers/peer_server.cc
@@ -153,6 +153,7 @@
           Refuse("the message is too large");
         break;
       }
+      CountBytes("in", size);
       const std::string message = buffer.substr(0, size - 1);
       buffer.erase(0, size);
       std::string answer = co_await Handle(message);
@@ -162,12 +163,19 @@
       stream.expires_after(kWriteTimeout);
       const auto [write_error, written] =
           co_await asio::async_write(stream, asio::buffer(answer), kAwaitTuple);
+      CountBytes("out", written);
       if (write_error)
         break;
     }
     --connections_;
   }
 
+  // The region of a caller is not known here; PeerClient counts by region.
+  void CountBytes(const char* direction, std::size_t bytes) {
+    metrics_.Count("pollenrudder_peer_served_bytes_total",
+                   std::string("direction=\"") + direction + '"', bytes);
+  }
+
   void Refuse(const std::string& reason) {
     EventLog::Write(kPeerMessageRefused, {{"reason", reason}});
     metrics_.Count("pollenrudder_peer_messages_refused_total");
--- /dev/null
+++ b/tests/load/load_generator.cc
@@ -0,0 +1,191 @@
+// LoadGenerator as coroutines on one thread.
+
+#include "tests/load/load_generator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace pollenrudder {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr int kHttp11 = 11;
+constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+
+// Returns the value of a text field of the upstream stand-in's flat answer.
+std::string FieldOf(const std::string& body, const std::string& name) {
+  const std::string start = "\"" + name + "\":\"";
+  const auto position = body.find(start);
+  if (position == std::string::npos)
+    return {};
+  const auto begin = position + start.size();
+  return body.substr(begin, body.find('"', begin) - begin);
+}
+
+}  // namespace
+
+LoadGenerator::LoadGenerator(const LoadOptions& options,
+                             std::size_t thread_number)
+    : options_(options),
+      thread_number_(thread_number),
+      context_(1),
+      random_(options.seed * 1000003 + thread_number) {
+  double sum = 0;
+  for (std::size_t key = 1; key <= options.keys; ++key) {
+    sum += std::pow(static_cast<double>(key), -options.zipf);
+    key_shares_.push_back(sum);
+  }
+  for (const std::string& address : options.targets) {
+    const auto colon = address.rfind(':');
+    Target target;
+    target.host = address;
+    target.endpoint = {
+        asio::ip::make_address(address.substr(0, colon)),
+        static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+    targets_.push_back(std::move(target));
+  }
+}
+
+LoadResult LoadGenerator::Run() {
+  for (Target& target : targets_) {
+    for (std::size_t index = 0; index < options_.connections; ++index)
+      asio::co_spawn(context_, Connection(target), asio::detached);
+  }
+  asio::co_spawn(context_, Schedule(), asio::detached);
+  context_.run();
+  std::sort(result_.answered.begin(), result_.answered.end());
+  return std::move(result_);
+}
+
+std::size_t LoadGenerator::PickKey() {
+  std::uniform_real_distribution<double> share(0, key_shares_.back());
+  const auto found =
+      std::lower_bound(key_shares_.begin(), key_shares_.end(), share(random_));
+  return static_cast<std::size_t>(found - key_shares_.begin());
+}
+
+asio::awaitable<void> LoadGenerator::Schedule() {
+  const double rate = options_.rate / static_cast<double>(options_.threads);
+  std::exponential_distribution<double> gap(rate);
+  const auto start = Clock::now();
+  auto due = start;
+  asio::steady_timer timer(context_);
+  while (due < start + options_.duration) {
+    if (due > Clock::now()) {
+      timer.expires_at(due);
+      co_await timer.async_wait(kAwaitTuple);
+    }
+    Target& target = targets_[result_.sent % targets_.size()];
+    const std::string tag =
+        std::to_string(thread_number_) + "-" + std::to_string(++result_.sent);
+    target.waiting.push_back({due,
+                              options_.path_prefix + "key-" +
+                                  std::to_string(PickKey()) + "?tag=" + tag +
+                                  "&pad=" + std::to_string(options_.pad),
+                              tag});
+    if (!target.idle.empty()) {
+      target.idle.back()->cancel();
+      target.idle.pop_back();
+    }
+    due += std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(gap(random_)));
+  }
+  finished_ = true;
+  for (Target& target : targets_) {
+    for (asio::steady_timer* const connection : target.idle)
+      connection->cancel();
+    target.idle.clear();
+  }
+}
+
+asio::awaitable<void> LoadGenerator::Connection(Target& target) {
+  boost::beast::tcp_stream stream(context_);
+  asio::steady_timer wake(context_);
+  bool connected = false;
+  for (;;) {
+    if (target.waiting.empty()) {
+      if (finished_)
+        co_return;
+      wake.expires_at(asio::steady_timer::time_point::max());
+      target.idle.push_back(&wake);
+      co_await wake.async_wait(kAwaitTuple);
+      continue;
+    }
+    const DueRequest request = std::move(target.waiting.front());
+    target.waiting.pop_front();
+    stream.expires_after(options_.timeout);
+    if (!connected) {
+      const auto [error] =
+          co_await stream.async_connect(target.endpoint, kAwaitTuple);
+      boost::system::error_code ignored;
+      stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+      connected = !error;
+    }
+    if (connected)
+      connected = co_await Send(stream, target, request);
+    else
+      ++result_.errors["lost"];
+    if (!connected) {
+      boost::system::error_code ignored;
+      stream.socket().close(ignored);
+    }
+  }
+}
+
+asio::awaitable<bool> LoadGenerator::Send(boost::beast::tcp_stream& stream,
+                                          const Target& target,
+                                          const DueRequest& request) {
+  http::request<http::empty_body> message(http::verb::get, request.target,
+                                          kHttp11);
+  message.set(http::field::host, target.host);
+  boost::beast::flat_buffer buffer;
+  http::response<http::string_body> answer;
+  const auto [write_error, sent] =
+      co_await http::async_write(stream, message, kAwaitTuple);
+  if (write_error) {
+    ++result_.errors["lost"];
+    co_return false;
+  }
+  const auto [read_error, received] =
+      co_await http::async_read(stream, buffer, answer, kAwaitTuple);
+  if (read_error) {
+    ++result_.errors["lost"];
+    co_return false;
+  }
+  Record(answer, request);
+  co_return answer.keep_alive();
+}
+
+void LoadGenerator::Record(const http::response<http::string_body>& answer,
+                           const DueRequest& request) {
+  if (answer.result() != http::status::ok) {
+    const auto error = answer["Pollenrudder-Error"];
+    ++result_.errors[error.empty()
+                         ? "status " + std::to_string(answer.result_int())
+                         : std::string(error)];
+    return;
+  }
+  if (FieldOf(answer.body(), "tag") != request.tag ||
+      FieldOf(answer.body(), "pad").size() != options_.pad) {
+    ++result_.wrong;
+    return;
+  }
+  ++result_.upstreams[FieldOf(answer.body(), "upstream")];
+  result_.answered.push_back(
+      std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
+                                                            request.due));
+}
+
+}  // namespace pollenrudder
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -43,12 +43,21 @@
 
 
 class Deployment:
-    """Starts everything in a temporary folder; close() ends it all."""
+    """Starts everything in a temporary folder; close() ends it all.
+
+    daemons_per_zone and upstreams_per_service are numbers, or dictionaries by
+    zone and by service.
+    """
 
     def __init__(self, daemons_per_zone=1, upstreams_per_service=4,
                  zones=None, services=("geodata", "crewdesk"),
                  sections=None, upstream_settings=None, lag_ms=0):
         self.zones = zones or ZONES
+        if not isinstance(daemons_per_zone, dict):
+            daemons_per_zone = {zone: daemons_per_zone for zone in self.zones}
+        if not isinstance(upstreams_per_service, dict):
+            upstreams_per_service = {
+                service: upstreams_per_service for service in services}
         self.folder = tempfile.mkdtemp(prefix="pollenrudder-")
         self.processes = []
         self.upstreams = {}
@@ -62,14 +71,14 @@
             for text in sections if sections is not None else [section()]:
                 assert self.publish(text).returncode == 0
             zone_names = list(self.zones)
-            for service in services:
-                for index in range(upstreams_per_service):
+            for service, count in upstreams_per_service.items():
+                for index in range(count):
                     self.start_upstream(
                         service, f"{service}-{index + 1}",
                         zone_names[index % len(zone_names)],
                         **(upstream_settings or {}))
             for zone in zone_names:
-                for index in range(daemons_per_zone):
+                for index in range(daemons_per_zone[zone]):
                     self.start_daemon(f"{zone}-{index + 1}", zone)
         except BaseException:
             self.close()
