--- a/packages/ownership/claimant.cc
+++ b/packages/ownership/claimant.cc
@@ -133,7 +133,10 @@
   for (const auto& [upstream, term] : context_.table().state().terms) {
     if (term.leader == context_.self())
       continue;
-    const ClaimTracker::View view{term, promises_.RunsOutAt(upstream)};
+    ClaimTracker::View view;
+    view.upstream = upstream;
+    view.current = &term;
+    view.own_promise_end = promises_.RunsOutAt(upstream);
     if (claims_.WantsLogRead(view, context_.now.boot))
       context_.read_wanted = true;
     if (claims_.MayClaim(view, context_.now.boot))
