--- a/apps/pollenrudderd/daemon.cc
+++ b/apps/pollenrudderd/daemon.cc
@@ -153,7 +153,7 @@
 }
 
 void Daemon::Leave(const std::atomic<bool>& cancelled) {
-  EventLog::Write(kLeaveStarted, {{"instance", instance_}});
+  EventLog::Write(kDaemonLeaveStarted, {{"instance", instance_}});
   PushInput(LeaveRequested{});
   const bool handed_over = WaitFor(
       [this] { return control_->leave_finished(); }, kHandoverLimit, cancelled);
--- a/apps/pollenrudderd/daemon_events.h
+++ b/apps/pollenrudderd/daemon_events.h
@@ -11,7 +11,8 @@
 inline constexpr LogEvent kDaemonStarted{1001, "daemon_started",
                                          LogLevel::kInfo};
 // SIGTERM or SIGINT: the daemon hands over what it leads.
-inline constexpr LogEvent kLeaveStarted{1002, "leave_started", LogLevel::kInfo};
+inline constexpr LogEvent kDaemonLeaveStarted{1002, "daemon_leave_started",
+                                              LogLevel::kInfo};
 // All terms are handed over; callers are served until their requests end.
 inline constexpr LogEvent kHandoverFinished{1003, "handover_finished",
                                             LogLevel::kInfo};
--- a/packages/callers/caller_session.cc
+++ b/packages/callers/caller_session.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "callers/callers_events.h"
 #include "callers/error_response.h"
+#include "routing/routing_events.h"
 
 namespace pollenrudder {
 namespace {
--- a/packages/callers/ingress_attempt.cc
+++ b/packages/callers/ingress_attempt.cc
@@ -7,11 +7,11 @@
 #include <boost/asio/post.hpp>
 
 #include "base/event_log.h"
-#include "callers/callers_events.h"
 #include "callers/error_response.h"
 #include "callers/forwarded_request.h"
 #include "callers/ingress_request.h"
 #include "callers/issued_ids_response.h"
+#include "routing/routing_events.h"
 
 namespace pollenrudder {
 namespace {
@@ -275,8 +275,17 @@
   const bool unknown = AnswerFor(error).outcome == Outcome::kUnknown &&
                        repeatable_ && !request_id_ &&
                        error != ErrorKind::kUnknownDeadline;
-  if (other_upstream || unknown)
-    return service_state_->budget.TakeRetry(++budget_retries_, now, deadline_);
+  if (other_upstream || unknown) {
+    const auto delay =
+        service_state_->budget.TakeRetry(++budget_retries_, now, deadline_);
+    if (!delay) {
+      EventLog::WriteLazily(kRetryBudgetSpent, [&] {
+        return std::vector<LogField>{{"service", service_},
+                                     {"error", AnswerFor(error).name}};
+      });
+    }
+    return delay;
+  }
   if (!IsWorthRetrying(error))
     return std::nullopt;
   const auto longest = std::min<milliseconds>(
--- a/packages/upstreams/upstream_leader.cc
+++ b/packages/upstreams/upstream_leader.cc
@@ -9,6 +9,7 @@
 
 #include "base/event_log.h"
 #include "routing/fingerprint.h"
+#include "routing/routing_events.h"
 #include "upstreams/address.h"
 #include "upstreams/upstreams_events.h"
 
@@ -179,15 +180,19 @@
 }
 
 bool UpstreamLeader::BeginRecord(Item& item, BootTime now) {
-  const auto answer_error = [&](ErrorKind error) {
-    not_run_.Add();
+  const auto answer_error = [&](ErrorKind error, const LogEvent& event) {
+    (AnswerFor(error).outcome == Outcome::kNotRun ? not_run_ : unknown_).Add();
+    EventLog::WriteLazily(event, [&] {
+      return std::vector<LogField>{{"upstream", name_},
+                                   {"error", AnswerFor(error).name}};
+    });
     item.callback({error, {}, item.request.request_id});
   };
   auto id = RequestId::Parse(item.request.request_id);
   if (!id || id.value().service != item.request.service ||
       id.value().upstream != name_ ||
       id.value().shard != ShardOrZero(item.request)) {
-    answer_error(ErrorKind::kInvalidRequestId);
+    answer_error(ErrorKind::kInvalidRequestId, kRequestIdRefused);
     return false;
   }
   RequestBegin begin =
@@ -203,11 +208,17 @@
       answer.response.body = begin.answer->body;
       answer.request_id = item.request.request_id;
       answered_.Add();
+      EventLog::WriteLazily(kRepeatAnswered, [&] {
+        return std::vector<LogField>{{"upstream", name_},
+                                     {"request_id", answer.request_id}};
+      });
       item.callback(std::move(answer));
       return false;
     }
     default:
-      answer_error(begin.error);
+      answer_error(begin.error, begin.kind == RequestBegin::Kind::kFull
+                                    ? kRequestRecordsFull
+                                    : kRequestIdRefused);
       return false;
   }
 }
@@ -400,12 +411,24 @@
     End(ticket, std::move(answer), SlotEnd::kShed);
     return;
   }
-  context_.quarantine.RecordAnswer(item.request.service, item.fingerprint, now);
+  RecordAnswer(item, now);
   answer.response = std::move(response);
   answer.response.control_lines.clear();
   End(ticket, std::move(answer), SlotEnd::kAnswered);
 }
 
+void UpstreamLeader::RecordAnswer(const Item& item, BootTime now) {
+  const std::uint64_t false_before = context_.quarantine.false_quarantines();
+  if (!context_.quarantine.RecordAnswer(item.request.service, item.fingerprint,
+                                        now))
+    return;
+  const bool was_quarantined =
+      context_.quarantine.false_quarantines() != false_before;
+  EventLog::Write(
+      was_quarantined ? kFalseQuarantine : kFingerprintCleared,
+      {{"service", item.request.service}, {"fingerprint", item.fingerprint}});
+}
+
 void UpstreamLeader::OnDisconnected(std::uint64_t ticket,
                                     Item& item,
                                     ErrorKind error) {
@@ -451,6 +474,7 @@
   if (!item.recorded_id)
     return;
   const BootTime now = BootClock::now();
+  const std::uint64_t not_kept = records_->answers_not_kept();
   if (!answer.error) {
     records_->FinishAnswered(
         *item.recorded_id,
@@ -462,6 +486,10 @@
   } else {
     records_->FinishUnknown(*item.recorded_id, *answer.error, now);
   }
+  if (records_->answers_not_kept() != not_kept) {
+    EventLog::Write(kAnswerNotKept,
+                    {{"upstream", name_}, {"request_id", item.sent_id}});
+  }
 }
 
 void UpstreamLeader::Refuse(std::uint64_t ticket, ErrorKind error) {
@@ -539,6 +567,10 @@
   IssuedIds issued;
   for (std::uint32_t index = 0; index < count; ++index)
     issued.ids.push_back(records_->Issue(number, epoch, now).ToText());
+  EventLog::WriteLazily(kRequestIdIssued, [&] {
+    return std::vector<LogField>{
+        {"upstream", name_}, {"shard", number}, {"count", count}};
+  });
   return issued;
 }
 
--- a/packages/upstreams/upstream_leader.h
+++ b/packages/upstreams/upstream_leader.h
@@ -142,6 +142,8 @@
   void OnExchangeEnded(std::uint64_t ticket,
                        HttpClientConnection::ExchangeResult result);
   void OnAnswered(std::uint64_t ticket, Item& item, HttpResponse response);
+  // An answer clears the suspicion of its fingerprint.
+  void RecordAnswer(const Item& item, BootTime now);
   void OnDisconnected(std::uint64_t ticket, Item& item, ErrorKind error);
 
   // Ends a request. The item must not be used afterwards.
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "routing/routing_events.h"
 #include "upstreams/upstream_leader.h"
 #include "upstreams/upstreams_events.h"
 
@@ -72,10 +73,11 @@
 }
 
 void UpstreamLeader::Drain(const DrainShards& drain) {
-  EventLog::Write(kDrainStarted, {{"upstream", name_},
-                                  {"drain_id", drain.drain_id},
-                                  {"shards", drain.shards.size()},
-                                  {"whole", drain.whole ? "true" : "false"}});
+  EventLog::Write(kUpstreamDrainStarted,
+                  {{"upstream", name_},
+                   {"drain_id", drain.drain_id},
+                   {"shards", drain.shards.size()},
+                   {"whole", drain.whole ? "true" : "false"}});
   drains_.Start(drain, [this](std::uint32_t shard) { return EpochOf(shard); });
   std::vector<std::uint64_t> waiting;
   std::vector<std::uint64_t> sent;
@@ -97,7 +99,7 @@
   if (!drains_.is_waiting())
     return;
   for (DrainFinished& finished : drains_.TakeFinished(now)) {
-    EventLog::Write(kDrainFinished,
+    EventLog::Write(kUpstreamDrainFinished,
                     {{"upstream", name_}, {"drain_id", finished.drain_id}});
     context_.listener.OnDrainFinished(std::move(finished));
   }
@@ -327,16 +329,22 @@
   granted_ = false;
   StopCall(grant_);
   admission_.SetCold(now);
+  EventLog::Write(kUpstreamCold, {{"upstream", name_}});
   UpstreamObserved event{name_, UpstreamObserved::State::kLost, {}};
   for (const auto& [fingerprint, alone] : lost_fingerprints_) {
     event.suspect_fingerprints.push_back(fingerprint);
     const Quarantine::Mark mark = context_.quarantine.RecordCrash(
         upstream_->service, fingerprint, alone, now);
     if (mark == Quarantine::Mark::kQuarantined) {
+      EventLog::Write(kFingerprintQuarantined, {{"service", upstream_->service},
+                                                {"fingerprint", fingerprint}});
       EventLog::Write(kFingerprintConfirmed,
                       {{"upstream", name_}, {"fingerprint", fingerprint}});
       context_.listener.OnFingerprintConfirmed(
           {upstream_->service, fingerprint});
+    } else {
+      EventLog::Write(kFingerprintSuspected, {{"service", upstream_->service},
+                                              {"fingerprint", fingerprint}});
     }
   }
   EventLog::Write(
--- a/packages/upstreams/upstreams_events.h
+++ b/packages/upstreams/upstreams_events.h
@@ -23,10 +23,11 @@
 inline constexpr LogEvent kUpstreamReachable{6005, "upstream_reachable",
                                              LogLevel::kInfo};
 // A drain started: the shards get no new request.
-inline constexpr LogEvent kDrainStarted{6006, "drain_started", LogLevel::kInfo};
+inline constexpr LogEvent kUpstreamDrainStarted{6006, "upstream_drain_started",
+                                                LogLevel::kInfo};
 // No request of the drained shards is in flight.
-inline constexpr LogEvent kDrainFinished{6007, "drain_finished",
-                                         LogLevel::kInfo};
+inline constexpr LogEvent kUpstreamDrainFinished{
+    6007, "upstream_drain_finished", LogLevel::kInfo};
 // An answer was truncated, malformed, or carried another request's id.
 inline constexpr LogEvent kAnswerDamaged{6008, "answer_damaged",
                                          LogLevel::kWarning};
