Record lost upstreams and order actions after the routing table

Random faults showed two errors. Leaders of two lost upstreams passed the same shards to each other for ever, because neither knew that the other's upstream was lost and an empty upstream is the least loaded: move records now say whether their upstream is lost, and a lost one is no target. And a drain that was emitted before the first table with the shard was ended by that table, so that a shard had two owners: the table now goes out first, then leases, then drains and resumes. Keeping lost upstreams out of targets by time alone was ruled out, since it only slows the exchange down.

--- a/packages/ownership/control_context.h
+++ b/packages/ownership/control_context.h
@@ -45,8 +45,10 @@
   std::optional<BootTime> last_proof;
   std::uint64_t next_drain_id = 1;
   bool leaving = false;
-  // Sent after the routing table, which may have closed the shards for good.
-  std::vector<ResumeShards> resumes;
+  // Drains and resumes are carried out after the routing table of the same
+  // input: a drain would otherwise be ended by a table with the shard's first
+  // epoch, and a resume would open a shard that the table gives away.
+  std::vector<ControllerAction> after_table;
   // Set by a part that waits for a read of the log.
   bool read_wanted = false;
 
@@ -57,7 +59,7 @@
   // Starts a drain and returns its id.
   std::uint64_t Drain(DrainShards drain) {
     drain.drain_id = next_drain_id++;
-    Act(drain);
+    after_table.emplace_back(drain);
     return drain.drain_id;
   }
 
--- a/packages/ownership/controller_core.cc
+++ b/packages/ownership/controller_core.cc
@@ -43,11 +43,11 @@
     MarkAllFingerprints();
   }
   std::visit([this](const auto& event) { On(event); }, input);
-  leases_.PublishLeases();
   PublishRoutingTable();
-  for (ResumeShards& resume : context_.resumes)
-    context_.Act(std::move(resume));
-  context_.resumes.clear();
+  leases_.PublishLeases();
+  for (ControllerAction& action : context_.after_table)
+    context_.Act(std::move(action));
+  context_.after_table.clear();
   FinishLeave();
   ReadLogIfWanted();
   return std::exchange(context_.actions, {});
--- a/packages/ownership/controller_fixture_test.cc
+++ b/packages/ownership/controller_fixture_test.cc
@@ -112,7 +112,7 @@
 
 LogOffset ControllerFixture::Publish(const std::string& team,
                                      const std::string& text) {
-  const OwnershipTable table = Table();
+  const OwnershipTable& table = Table();
   const auto current = table.state().sections.find(team);
   return Publish(team, text,
                  current == table.state().sections.end()
@@ -211,12 +211,21 @@
     blocked_drains_.erase(upstream);
 }
 
-void ControllerFixture::Observe(const std::string& upstream,
-                                UpstreamObserved::State state,
-                                std::vector<std::uint64_t> fingerprints) {
-  const std::string sender = Sender(upstream);
-  if (!sender.empty())
-    Handle(sender, UpstreamObserved{upstream, state, std::move(fingerprints)});
+void ControllerFixture::Observe(
+    const std::string& upstream,
+    UpstreamObserved::State state,
+    const std::vector<std::uint64_t>& fingerprints) {
+  if (state == UpstreamObserved::State::kLost)
+    lost_.insert(upstream);
+  else
+    lost_.erase(upstream);
+  for (const auto& [name, instance] : instances_) {
+    const auto lease = instance->leases.find(upstream);
+    if (lease != instance->leases.end() &&
+        lease->second.valid_until > instance->Clock(elapsed_)) {
+      Handle(name, UpstreamObserved{upstream, state, fingerprints});
+    }
+  }
 }
 
 std::string ControllerFixture::Sender(const std::string& upstream) const {
@@ -241,7 +250,7 @@
 }
 
 bool ControllerFixture::AllServed(const std::string& service) const {
-  const OwnershipTable table = Table();
+  const OwnershipTable& table = Table();
   const ServiceSettings* settings = table.document().FindService(service);
   if (!settings)
     return false;
@@ -252,11 +261,10 @@
   return true;
 }
 
-OwnershipTable ControllerFixture::Table() const {
-  OwnershipTable table{LeaseDurations{}};
-  for (std::size_t index = 0; index < log_.size(); ++index)
-    table.Apply(index + 1, log_[index]);
-  return table;
+const OwnershipTable& ControllerFixture::Table() const {
+  while (table_.applied() < log_.size())
+    table_.Apply(table_.applied() + 1, log_[table_.applied()]);
+  return table_;
 }
 
 Controller& ControllerFixture::controller(const std::string& instance) {
@@ -335,8 +343,15 @@
     SendRead(name, read->from, false);
   } else if (const auto* lease = std::get_if<SetLease>(&action)) {
     SetLease& held = instance.leases[lease->upstream];
-    if (held.fence != lease->fence)
+    if (held.fence != lease->fence) {
       instance.drained.erase(lease->upstream);
+      // The upstream package sees the state of the upstream by itself.
+      if (lost_.contains(lease->upstream)) {
+        const UpstreamObserved lost{
+            lease->upstream, UpstreamObserved::State::kLost, {}};
+        At(kFailureTime, [this, name, lost] { Handle(name, lost); });
+      }
+    }
     held = *lease;
   } else if (const auto* table = std::get_if<PublishRoutingTable>(&action)) {
     instance.routing = table->table;
@@ -463,16 +478,29 @@
   read.next = std::max(end, std::min<LogOffset>(first, log_.size() + 1));
   read.reached_end = read.next == log_.size() + 1;
   At(kOneWay, [this, name, read, wait] {
-    Handle(name, read);
+    WhenRunning(name, [this, name, read, wait] {
+      Handle(name, read);
+      if (wait)
+        SendRead(name, instances_.at(name)->controller->next_offset(), true);
+    });
+  });
+}
+
+void ControllerFixture::FailRead(const std::string& name, bool wait) {
+  WhenRunning(name, [this, name, wait] {
+    Handle(name, LogReadFailed{"cut"});
     if (wait)
       SendRead(name, instances_.at(name)->controller->next_offset(), true);
   });
 }
 
-void ControllerFixture::FailRead(const std::string& name, bool wait) {
-  Handle(name, LogReadFailed{"cut"});
-  if (wait)
-    SendRead(name, instances_.at(name)->controller->next_offset(), true);
+void ControllerFixture::WhenRunning(const std::string& name,
+                                    std::function<void()> work) {
+  Instance& instance = *instances_.at(name);
+  if (instance.paused)
+    instance.held_back.push_back(std::move(work));
+  else
+    work();
 }
 
 void ControllerFixture::ListInstances() {
--- a/packages/ownership/controller_fixture_test.h
+++ b/packages/ownership/controller_fixture_test.h
@@ -84,7 +84,7 @@
   void BlockDrains(const std::string& upstream, bool blocked);
   void Observe(const std::string& upstream,
                UpstreamObserved::State state,
-               std::vector<std::uint64_t> fingerprints = {});
+               const std::vector<std::uint64_t>& fingerprints = {});
 
   // The instance that may send to the upstream now, or "".
   std::string Sender(const std::string& upstream) const;
@@ -94,7 +94,7 @@
   bool AllServed(const std::string& service) const;
 
   // The log as an ideal reader sees it.
-  OwnershipTable Table() const;
+  const OwnershipTable& Table() const;
   const std::vector<std::string>& log() const { return log_; }
   // Records of the log of one type, decoded.
   template <typename Body>
@@ -143,6 +143,8 @@
                   std::chrono::nanoseconds deadline,
                   bool wait);
   void FailRead(const std::string& name, bool wait);
+  // Does the work now, or when the paused instance resumes.
+  void WhenRunning(const std::string& name, std::function<void()> work);
   void ListInstances();
   bool CanReachLog(const std::string& instance) const;
   bool ArePeersCut(const std::string& one, const std::string& other) const;
@@ -159,10 +161,13 @@
   std::map<std::string, std::vector<ControllerAction>> history_;
   std::vector<ListedInstance> listed_;
   std::vector<std::string> log_;
+  // Replays `log_` as far as Table() was asked.
+  mutable OwnershipTable table_{LeaseDurations{}};
   LogOffset first_retained_ = 1;
   bool log_down_ = false;
   std::set<std::pair<std::string, std::string>> peer_cuts_;
   std::set<std::string> blocked_drains_;
+  std::set<std::string> lost_;
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, std::function<void(const AnswerPromise&)>> calls_;
   std::vector<std::string> violations_;
--- a/packages/ownership/controller_test.cc
+++ b/packages/ownership/controller_test.cc
@@ -85,7 +85,7 @@
   REQUIRE(fixture.RunUntil(
       [&] { return !fixture.Actions<LeaveFinished>(leader).empty(); }, 2s));
   REQUIRE(fixture.RunUntil([&] { return fixture.AllServed("geodata"); }, 1s));
-  const OwnershipTable table = fixture.Table();
+  const OwnershipTable& table = fixture.Table();
   for (const auto& [upstream, term] : table.state().terms)
     REQUIRE(term.leader != leader);
   REQUIRE(fixture.violations().empty());
--- a/packages/ownership/json_fields.cc
+++ b/packages/ownership/json_fields.cc
@@ -33,6 +33,13 @@
   return std::string(text->data(), text->size());
 }
 
+bool RequireBool(const json::object& object, std::string_view name) {
+  const bool* flag = RequireField(object, name).if_bool();
+  if (!flag)
+    throw JsonFieldError("not a boolean: " + std::string(name));
+  return *flag;
+}
+
 const json::object& AsObject(const json::value& value) {
   const json::object* object = value.if_object();
   if (!object)
--- a/packages/ownership/json_fields.h
+++ b/packages/ownership/json_fields.h
@@ -31,6 +31,7 @@
                                        std::string_view name);
 std::string RequireString(const boost::json::object& object,
                           std::string_view name);
+bool RequireBool(const boost::json::object& object, std::string_view name);
 const boost::json::object& AsObject(const boost::json::value& value);
 std::uint64_t AsUnsigned(const boost::json::value& value);
 std::uint64_t RequireUnsigned(const boost::json::object& object,
--- a/packages/ownership/lease_keeper.cc
+++ b/packages/ownership/lease_keeper.cc
@@ -101,12 +101,22 @@
 }
 
 void LeaseKeeper::PublishLeases() {
+  Publish(/*only_shorter=*/false);
+}
+
+void LeaseKeeper::PublishShorterLeases() {
+  Publish(/*only_shorter=*/true);
+}
+
+void LeaseKeeper::Publish(bool only_shorter) {
   for (auto& [upstream, led] : led_) {
     if (context_.now.boot < led.lease.active_from())
       continue;
     const BootTime end = std::max(led.lease.ValidUntil(), BootTime{});
     if (led.published == end || (!led.published && end == BootTime{}))
       continue;
+    if (only_shorter && (!led.published || *led.published < end))
+      continue;
     led.published = end;
     context_.Act(SetLease{upstream, led.lease.term().leader_since, end});
   }
@@ -250,7 +260,7 @@
                                   {"voters", JoinVoters(entry.voters)}});
   }
   // The shorter lease is in force before the record can be.
-  PublishLeases();
+  PublishShorterLeases();
   const std::string id = context_.Append(std::move(record));
   for (Led* led : revised)
     led->revise_record = id;
--- a/packages/ownership/lease_keeper.h
+++ b/packages/ownership/lease_keeper.h
@@ -46,8 +46,12 @@
   void OnPromise(const PromiseAnswered& answer);
   void OnTick();
 
-  // Sends the lease ends that have changed.
+  // Sends the lease ends that have changed. It comes after the routing table of
+  // the same input, since a new lease with an older table would serve shards
+  // that have moved away.
   void PublishLeases();
+  // Sends the lease ends that have come closer, before a record that needs it.
+  void PublishShorterLeases();
 
   // Whether this instance may send to the upstream now.
   bool IsActive(std::string_view upstream) const;
@@ -88,6 +92,7 @@
   void UpdateLease(Led& led, const TermState& term);
   void RecordActive(Led& led);
   void LogTransition(Led& led);
+  void Publish(bool only_shorter);
   void SendHeartbeats();
   void ReviseVoters();
   // Returns the entry that brings the term up to date, if it is outdated.
--- a/packages/ownership/log_record.cc
+++ b/packages/ownership/log_record.cc
@@ -70,7 +70,8 @@
           {"service", record.service},
           {"shards", std::move(moves)},
           {"suspects", EncodeFingerprints(record.suspects)},
-          {"suspects_until_ms", WallMilliseconds(record.suspects_until)}};
+          {"suspects_until_ms", WallMilliseconds(record.suspects_until)},
+          {"lost", record.lost}};
 }
 
 json::object EncodeBody(const QuarantineRecord& record) {
@@ -165,6 +166,7 @@
   }
   record.suspects = DecodeFingerprints(RequireArray(object, "suspects"));
   record.suspects_until = RequireWallTime(object, "suspects_until_ms");
+  record.lost = RequireBool(object, "lost");
   return record;
 }
 
--- a/packages/ownership/log_record.h
+++ b/packages/ownership/log_record.h
@@ -91,8 +91,8 @@
   bool operator==(const ShardMove&) const = default;
 };
 
-// Moves shards away from `upstream`. Without moves, it only carries suspects
-// of a service that is not divided by key.
+// Moves shards away from `upstream`. Without moves, it only carries suspects,
+// or tells whether the upstream is lost.
 struct MoveRecord {
   std::string upstream;
   LogOffset term = kNoOffset;
@@ -100,6 +100,9 @@
   std::vector<ShardMove> moves;
   std::vector<std::uint64_t> suspects;
   WallTime suspects_until;
+  // Whether the leader sees the upstream as lost. Other leaders don't choose a
+  // lost upstream as a target, which would pass its shards back and forth.
+  bool lost = false;
 
   bool operator==(const MoveRecord&) const = default;
 };
--- a/packages/ownership/move_manager.cc
+++ b/packages/ownership/move_manager.cc
@@ -120,7 +120,9 @@
 
 void MoveManager::OnTick() {
   for (const std::string& name : leases_.LedUpstreams()) {
-    const bool concerned = IsStopping(name) || targets_.IsLost(name);
+    const TermState* term = context_.table().FindTerm(name);
+    const bool concerned =
+        IsStopping(name) || targets_.IsLost(name) || (term && term->lost);
     if (concerned || upstreams_.contains(name))
       Advance(name, upstreams_[name]);
   }
@@ -177,7 +179,8 @@
   std::vector<ShardMove> moves = PlanMoves(name, shards, {});
   if (!shards.empty() && moves.empty())
     LogNoTarget(name, upstream);
-  if (moves.empty() && upstream.suspects.empty())
+  const bool recorded = context_.table().FindTerm(name)->lost;
+  if (moves.empty() && upstream.suspects.empty() && recorded)
     return;
   upstream.no_target_logged = false;
   upstream.lost_record =
@@ -187,12 +190,14 @@
 
 void MoveManager::EndLost(const std::string& name, Upstream& upstream) {
   // While the record is unresolved, the shards may have other owners.
-  if (upstream.whole == WholeDrain::kNone || handover_in_progress_(name) ||
-      context_.appender.pending(upstream.lost_record)) {
+  if (context_.appender.pending(upstream.lost_record))
+    return;
+  if (context_.table().FindTerm(name)->lost && leases_.IsActive(name))
+    upstream.lost_record = SendMove(name, {}, {}, "upstream_reachable");
+  if (upstream.whole == WholeDrain::kNone || handover_in_progress_(name))
     return;
-  }
   upstream.whole = WholeDrain::kNone;
-  context_.resumes.push_back({name, {}, true});
+  context_.after_table.emplace_back(ResumeShards{name, {}, true});
 }
 
 void MoveManager::AdvanceBatches(const std::string& name, Upstream& upstream) {
@@ -281,7 +286,7 @@
 
 void MoveManager::Resume(const std::string& name,
                          const std::vector<std::uint32_t>& shards) {
-  context_.resumes.push_back({name, shards, false});
+  context_.after_table.emplace_back(ResumeShards{name, shards, false});
 }
 
 std::vector<ShardMove> MoveManager::PlanMoves(
@@ -323,7 +328,7 @@
           context_.now.wall + kMarkLifetime);
   return context_.Append(MoveRecord{name, term->term, term->service,
                                     std::move(moves), std::move(suspects),
-                                    until});
+                                    until, targets_.IsLost(name)});
 }
 
 void MoveManager::LogNoTarget(const std::string& name, Upstream& upstream) {
--- a/packages/ownership/ownership_table.cc
+++ b/packages/ownership/ownership_table.cc
@@ -218,6 +218,10 @@
   // The leader that this term replaced may still be sending to the shards.
   if (term->leader != record.by || !term->active)
     return "not written by the active leader";
+  if (term->lost != body.lost) {
+    state_.terms[body.upstream].lost = body.lost;
+    applied = true;
+  }
   const auto found = state_.shards.find(term->service);
   std::string reason;
   for (const ShardMove& move : body.moves) {
--- a/packages/ownership/routing_table_builder.cc
+++ b/packages/ownership/routing_table_builder.cc
@@ -18,7 +18,7 @@
   upstream.zone = term.zone;
   upstream.region = term.region;
   upstream.address = term.address;
-  upstream.leaving = stops.IsUpstreamStopping(term.upstream);
+  upstream.leaving = term.lost || stops.IsUpstreamStopping(term.upstream);
   upstream.term = term.term;
   upstream.leader_since = term.leader_since;
   upstream.leader = term.leader;
--- a/packages/ownership/routing_table_builder.h
+++ b/packages/ownership/routing_table_builder.h
@@ -10,8 +10,8 @@
 namespace pollenrudder {
 
 // Returns the services of the document with their upstreams that have a term
-// and the owners of their shards. Upstreams that are stopping are marked as
-// leaving.
+// and the owners of their shards. Upstreams that are stopping or recorded as
+// lost are marked as leaving.
 RoutingTablePointer BuildRoutingTable(const OwnershipTable& table,
                                       const StopSchedule& stops);
 
--- a/packages/ownership/table_codec.cc
+++ b/packages/ownership/table_codec.cc
@@ -33,6 +33,7 @@
           {"isolation_hold_ns", term.isolation_hold.count()},
           {"wait_ns", term.wait.count()},
           {"active", term.active},
+          {"lost", term.lost},
           {"replaced_leader", term.replaced_leader},
           {"replaced_leader_zone", term.replaced_leader_zone}};
 }
@@ -55,10 +56,8 @@
   term.voters = DecodeVoters(RequireArray(object, "voters"));
   term.isolation_hold = RequireNanoseconds(object, "isolation_hold_ns");
   term.wait = RequireNanoseconds(object, "wait_ns");
-  const bool* active = RequireField(object, "active").if_bool();
-  if (!active)
-    throw JsonFieldError("not a boolean: active");
-  term.active = *active;
+  term.active = RequireBool(object, "active");
+  term.lost = RequireBool(object, "lost");
   term.replaced_leader = RequireString(object, "replaced_leader");
   term.replaced_leader_zone = RequireString(object, "replaced_leader_zone");
   return term;
--- a/packages/ownership/target_chooser.cc
+++ b/packages/ownership/target_chooser.cc
@@ -21,7 +21,9 @@
 }
 
 bool TargetChooser::Accepts(const std::string& upstream) const {
-  return context_.directory.FindUpstream(upstream) && !IsLost(upstream) &&
+  const TermState* term = context_.table().FindTerm(upstream);
+  return term && !term->lost && !IsLost(upstream) &&
+         context_.directory.FindUpstream(upstream) &&
          !context_.stops.IsUpstreamStopping(upstream);
 }
 
--- a/packages/ownership/term_handover.cc
+++ b/packages/ownership/term_handover.cc
@@ -172,7 +172,7 @@
   }
   // The lease ends before the record can take effect.
   lease->BeginHandover();
-  leases_.PublishLeases();
+  leases_.PublishShorterLeases();
   pending.record = context_.Append(std::move(body));
   pending.sent_at = context_.now.boot;
 }
@@ -208,7 +208,7 @@
 
 void TermHandover::GiveUp(const std::string& upstream) {
   leases_.Find(upstream)->AbandonHandover();
-  context_.resumes.push_back({upstream, {}, true});
+  context_.after_table.emplace_back(ResumeShards{upstream, {}, true});
   moves_.OnHandoverGivenUp(upstream);
   context_.Decide(kHandoverGivenUp, {{"upstream", upstream}});
 }
--- a/packages/ownership/term_rules.cc
+++ b/packages/ownership/term_rules.cc
@@ -161,6 +161,7 @@
   term.voters = entry.voters;
   term.isolation_hold = entry.isolation_hold;
   term.active = !IsClaim(entry.kind);
+  term.lost = current != nullptr && current->lost;
   if (entry.kind == TermKind::kRevise) {
     term.leader_since = current->leader_since;
     term.wait = current->wait;
--- a/packages/ownership/term_state.h
+++ b/packages/ownership/term_state.h
@@ -50,6 +50,8 @@
   // True once an `active` record of this term was read, and from the start for
   // a term without a wait. A revise keeps the value of the term it replaces.
   bool active = false;
+  // Whether a leader last recorded the upstream as lost; kept over terms.
+  bool lost = false;
   // The leader whose lease `wait` covers, if its term was active when it was
   // replaced; otherwise empty.
   std::string replaced_leader;
