Forget what was seen of an upstream when its leadership changes

Entries of MoveManager now belong to one leadership. The fixture tells observers that an upstream is back even while their lease has lapsed, as the upstream package does.

--- a/packages/ownership/controller_fixture_test.cc
+++ b/packages/ownership/controller_fixture_test.cc
@@ -220,11 +220,9 @@
   else
     lost_.erase(upstream);
   for (const auto& [name, instance] : instances_) {
-    const auto lease = instance->leases.find(upstream);
-    if (lease != instance->leases.end() &&
-        lease->second.valid_until > instance->Clock(elapsed_)) {
+    // Observers keep watching an upstream while the lease has lapsed.
+    if (instance->leases.contains(upstream))
       Handle(name, UpstreamObserved{upstream, state, fingerprints});
-    }
   }
 }
 
--- a/packages/ownership/move_manager.cc
+++ b/packages/ownership/move_manager.cc
@@ -35,9 +35,15 @@
       handover_in_progress_(std::move(handover_in_progress)) {}
 
 void MoveManager::OnTableChanged() {
-  // The next leader goes on from the log. Its term ends the drains here.
+  // The next leader goes on from the log. Its term ends the drains here, and
+  // what this instance saw of the upstream counts no more, even if it leads the
+  // upstream again.
   std::erase_if(upstreams_, [this](const auto& entry) {
-    return !leases_.Find(entry.first);
+    const LeaderLease* lease = leases_.Find(entry.first);
+    if (lease && lease->term().leader_since == entry.second.leader_since)
+      return false;
+    targets_.SetLost(entry.first, false);
+    return true;
   });
   std::erase_if(quarantines_, [this](const auto& entry) {
     return !context_.appender.pending(entry.second);
@@ -47,13 +53,13 @@
 }
 
 void MoveManager::OnObserved(const UpstreamObserved& observed) {
+  if (!leases_.Find(observed.upstream))
+    return;
   const bool lost = observed.state == UpstreamObserved::State::kLost;
   targets_.SetLost(observed.upstream, lost);
   context_.Decide(kUpstreamState, {{"upstream", observed.upstream},
                                    {"state", StateName(observed.state)}});
-  if (!leases_.Find(observed.upstream))
-    return;
-  Upstream& upstream = upstreams_[observed.upstream];
+  Upstream& upstream = Track(observed.upstream);
   if (lost) {
     upstream.suspects.insert(upstream.suspects.end(),
                              observed.suspect_fingerprints.begin(),
@@ -86,7 +92,7 @@
       handover_in_progress_(advice.upstream) || !context_.ReadyToAppend()) {
     return;
   }
-  Upstream& upstream = upstreams_[advice.upstream];
+  Upstream& upstream = Track(advice.upstream);
   const std::vector<std::uint32_t> free = FreeShards(advice.upstream, upstream);
   std::vector<std::uint32_t> wanted = advice.shards;
   std::sort(wanted.begin(), wanted.end());
@@ -124,7 +130,7 @@
     const bool concerned =
         IsStopping(name) || targets_.IsLost(name) || (term && term->lost);
     if (concerned || upstreams_.contains(name))
-      Advance(name, upstreams_[name]);
+      Advance(name, Track(name));
   }
 }
 
@@ -148,6 +154,12 @@
   return shards;
 }
 
+MoveManager::Upstream& MoveManager::Track(const std::string& name) {
+  Upstream& upstream = upstreams_[name];
+  upstream.leader_since = leases_.Find(name)->term().leader_since;
+  return upstream;
+}
+
 void MoveManager::Advance(const std::string& name, Upstream& upstream) {
   // A move before the `active` record would be ignored, since the earlier
   // leader may still be sending.
--- a/packages/ownership/move_manager.h
+++ b/packages/ownership/move_manager.h
@@ -76,6 +76,8 @@
   };
 
   struct Upstream {
+    // The leadership that the drains belong to.
+    LogOffset leader_since = kNoOffset;
     // Of a lost upstream.
     WholeDrain whole = WholeDrain::kNone;
     std::uint64_t drain_id = 0;
@@ -85,6 +87,8 @@
     bool no_target_logged = false;
   };
 
+  // Returns the entry of a led upstream.
+  Upstream& Track(const std::string& name);
   void Advance(const std::string& name, Upstream& upstream);
   void AdvanceLost(const std::string& name, Upstream& upstream);
   void EndLost(const std::string& name, Upstream& upstream);
