--- a/standins/instance_list_service.cc
+++ b/standins/instance_list_service.cc
@@ -12,19 +12,20 @@
 namespace http = boost::beast::http;
 
 asio::awaitable<std::optional<HttpService::Response>>
-InstanceListService::Handle(const Request& request, Connection&) {
+InstanceListService::Handle(const Request& request, Connection& connection) {
   if (Path(request) != "/v1/instances")
     co_return Empty(404);
   const std::int64_t visible = BootMilliseconds() - lag_;
   while (versions_.size() > 1 && versions_[1].since <= visible)
     versions_.pop_front();
-  const std::string tag = '"' + std::to_string(versions_.front().number) + '"';
+  const std::string tag = '"' + std::to_string(versions_.front().number) + '-' +
+                          std::to_string(view_number_) + '"';
   if (request[http::field::if_none_match] == tag)
     co_return Empty(304);
   Response response(http::status::ok, request.version());
   response.set(http::field::content_type, "application/json");
   response.set(http::field::etag, tag);
-  response.body() = versions_.front().text;
+  response.body() = TextFor(connection.listener);
   co_return response;
 }
 
@@ -45,6 +46,20 @@
   return Json(200, json::object());
 }
 
+std::string InstanceListService::TextFor(const std::string& listener) const {
+  std::string text = versions_.front().text;
+  const auto view = views_.find(listener);
+  if (view == views_.end())
+    return text;
+  for (const auto& [registered, shown] : view->second) {
+    const std::string quoted = '"' + registered + '"';
+    for (auto position = text.find(quoted); position != std::string::npos;
+         position = text.find(quoted, position + 1))
+      text.replace(position, quoted.size(), '"' + shown + '"');
+  }
+  return text;
+}
+
 void InstanceListService::AddVersion() {
   json::array instances;
   for (const auto& [name, entry] : entries_)
@@ -58,6 +73,13 @@
   HttpService::ApplySettings(settings);
   if (const json::value* const value = settings.if_contains("lag_ms"))
     lag_ = value->to_number<std::int64_t>();
+  if (const json::value* const value = settings.if_contains("views")) {
+    ++view_number_;
+    for (const auto& [listener, addresses] : value->as_object()) {
+      for (const auto& [registered, shown] : addresses.as_object())
+        views_[listener][registered] = shown.as_string();
+    }
+  }
 }
 
 }  // namespace pollenrudder
--- a/standins/instance_list_service.h
+++ b/standins/instance_list_service.h
@@ -16,7 +16,9 @@
 
 // GET /v1/instances shows the list as it was `lag_ms` ago. The driver changes
 // it by POST /standin/register with an entry, which replaces the one of the
-// same name, and POST /standin/remove with {"name"}.
+// same name, and POST /standin/remove with {"name"}. The setting "views" maps a
+// listener to the addresses that its readers see instead of the registered
+// ones, so that they connect through links that can be cut.
 class InstanceListService : public HttpService {
  public:
   using HttpService::HttpService;
@@ -37,11 +39,15 @@
   };
 
   void AddVersion();
+  std::string TextFor(const std::string& listener) const;
 
   std::map<std::string, boost::json::object> entries_;
   // Invariant: ordered by time; the first is in force for the oldest answer.
   std::deque<Version> versions_ = {{0, 0, "{\"instances\":[]}"}};
   std::int64_t lag_ = 0;
+  // Per listener: registered address -> address shown.
+  std::map<std::string, std::map<std::string, std::string>> views_;
+  std::uint64_t view_number_ = 0;
 };
 
 }  // namespace pollenrudder
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -51,7 +51,8 @@
 
     def __init__(self, daemons_per_zone=1, upstreams_per_service=4,
                  zones=None, services=("geodata", "crewdesk"),
-                 sections=None, upstream_settings=None, lag_ms=0):
+                 sections=None, upstream_settings=None, lag_ms=0,
+                 links=False):
         self.zones = zones or ZONES
         if not isinstance(daemons_per_zone, dict):
             daemons_per_zone = {zone: daemons_per_zone for zone in self.zones}
@@ -60,6 +61,9 @@
                 service: upstreams_per_service for service in services}
         self.folder = tempfile.mkdtemp(prefix="pollenrudder-")
         self.processes = []
+        # With `links`, control messages between zones go through one link
+        # stand-in per daemon, with one link per zone of the sender.
+        self.links = {} if links else None
         self.upstreams = {}
         self.daemons = {}
         try:
@@ -125,9 +129,32 @@
             "region": self.zones[zone], "address": daemon.forward,
             "peer_address": daemon.peer, "state": "live"}
         self.daemons[name] = daemon
+        if self.links is not None:
+            self._add_links(daemon)
         self.register(daemon)
         return daemon
 
+    def _add_links(self, daemon):
+        link = self._add(Standin(
+            f"{daemon.name}-links", "link", self.folder, links={
+                zone: daemon.peer for zone in self.zones
+                if zone != daemon.zone}))
+        self.links[daemon.name] = link
+        self.list.set(views={
+            zone: {daemon.peer: link.addresses[zone]}
+            for zone in self.zones if zone != daemon.zone})
+
+    def cut_zone(self, zone, cut=True):
+        """Cuts a zone's daemons off from the platform and, for control
+        messages, from all other zones; or ends the cut. Forwarded requests
+        still pass: this is the harder case for the rule of one owner."""
+        state = {"cut": "both" if cut else "none"}
+        for name, link in self.links.items():
+            inside = self.daemons[name].zone == zone
+            link.set(links={("*" if inside else zone): state})
+        self.log.set(cut=[zone] if cut else [])
+        self.list.set(cut=[zone] if cut else [])
+
     def register(self, process, state="live"):
         process.entry["state"] = state
         self.list.control("/standin/register", process.entry)
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -179,6 +179,38 @@
             deployment.log.set(outage="none")
             deployment.wait_until_served()
 
+    # Guards against a cut-off zone that stops serving its own keys at once, or
+    # serves them after another zone has taken them over.
+    def test_zone_cut(self):
+        hold_s = 4
+        with started(daemons_per_zone=2, links=True) as deployment:
+            key, upstream = next(
+                (key, upstream) for key, upstream in (
+                    (f"key-{n}", deployment.owner(f"key-{n}"))
+                    for n in range(100))
+                if deployment.leader(upstream).zone == "inverness-a")
+            inside = deployment.leader(upstream)
+            outside = next(d for d in deployment.live_daemons()
+                           if d.zone == "falkirk-a")
+            time.sleep(2)
+            with BackgroundLoad(deployment) as load:
+                begin = time.monotonic()
+                deployment.cut_zone("inverness-a")
+                while time.monotonic() < begin + hold_s - 1:
+                    status, headers, _ = request(
+                        inside.caller, "GET", f"/geodata/{key}?tag=cut")
+                    self.assertEqual(200, status, headers)
+                    time.sleep(0.05)
+                # The claim's wait adds the hold once more.
+                wait_until(
+                    lambda: deployment.leader(upstream, outside).zone
+                    != "inverness-a", "another zone leads", 4 * hold_s)
+                seconds_until_served(
+                    outside, f"/geodata/{key}", time.monotonic(), 3 * hold_s)
+                deployment.cut_zone("inverness-a", cut=False)
+                deployment.wait_until_served()
+            load.check(self)
+
     # Guards against a request that takes down one upstream after the other.
     def test_request_that_crashes_its_upstream(self):
         with started(upstream_settings={"crash_body": "poison"},
