Put run-before on the upstream's own clock

Cause: test_upstream_frozen_and_returned found shard 57 run under epoch 6 more than 1,000 ms after epoch 10 had begun elsewhere. Run-before was relative to the moment the upstream reads a request; one that was frozen reads what waited in its socket buffer as if it had just arrived. Ruled out: closing the connection (the kernel still delivers received bytes), absolute wall-clock times (no common clock), and renewed grants (a renewal can wait in the same buffer). Conclusion: the limit holds however long a request was buffered.

--- a/packages/upstreams/fake_upstream_test.h
+++ b/packages/upstreams/fake_upstream_test.h
@@ -3,6 +3,7 @@
 #ifndef POLLENRUDDER_UPSTREAMS_FAKE_UPSTREAM_TEST_H_
 #define POLLENRUDDER_UPSTREAMS_FAKE_UPSTREAM_TEST_H_
 
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <list>
@@ -22,6 +23,9 @@
 // Grants and health checks are answered with 200 unless the script does so.
 class FakeUpstream {
  public:
+  // The reading of the upstream's clock in the answer to a grant.
+  static constexpr std::chrono::milliseconds kClock{5000};
+
   struct Reply {
     std::string bytes;
     // Close in order, or reset, after the bytes.
--- a/packages/upstreams/upstream_leader.cc
+++ b/packages/upstreams/upstream_leader.cc
@@ -263,8 +263,14 @@
 
 void UpstreamLeader::PumpReady() {
   while (!ready_.empty()) {
-    if (!granted_ || health_.state() != UpstreamHealth::State::kReachable)
+    if (health_.state() != UpstreamHealth::State::kReachable)
       return;
+    if (!CanSend(BootClock::now())) {
+      // The next tick sends a grant, whose answer reads the clock.
+      granted_ = false;
+      context_.request_tick();
+      return;
+    }
     const ConnectionPool::Connection connection = pool_.Take();
     if (!connection) {
       if (pool_.CanOpen() && opening_ < ready_.size()) {
@@ -325,14 +331,26 @@
   lines.reserve(kUsualBytes);
   AppendHeader(lines, "Pollenrudder-Fence", item.request.epoch);
   AppendHeader(lines, "Pollenrudder-Shard", ShardOrZero(item.request));
-  AppendHeader(lines, "Pollenrudder-Run-Before",
-               ToNumber(MillisecondsUntil(item.run_before, now)));
+  if (service_->settings.checks_fence)
+    AppendHeader(lines, "Pollenrudder-Run-Before",
+                 clock_.Translate(item.run_before));
   AppendHeader(lines, "Pollenrudder-Deadline",
                ToNumber(MillisecondsUntil(item.request.deadline, now)));
   AppendHeader(lines, "Pollenrudder-Request-Id", item.sent_id);
   return lines;
 }
 
+void UpstreamLeader::ReadClock(const HttpResponse& response, BootTime now) {
+  if (const auto reading =
+          FindHeader(response.control_lines, "Pollenrudder-Clock"))
+    clock_.OnReading(*reading, now);
+}
+
+bool UpstreamLeader::CanSend(BootTime now) const {
+  return granted_ &&
+         (!service_->settings.checks_fence || clock_.IsCurrent(now));
+}
+
 void UpstreamLeader::OnExchangeEnded(
     std::uint64_t ticket,
     HttpClientConnection::ExchangeResult result) {
@@ -372,6 +390,7 @@
                                 Item& item,
                                 HttpResponse response) {
   const BootTime now = BootClock::now();
+  ReadClock(response, now);
   const auto id = FindHeader(response.control_lines, "Pollenrudder-Request-Id");
   const bool refused =
       response.status == 503 &&
--- a/packages/upstreams/upstream_leader.h
+++ b/packages/upstreams/upstream_leader.h
@@ -24,6 +24,7 @@
 #include "upstreams/lease_cell.h"
 #include "upstreams/load_counter.h"
 #include "upstreams/shard_drains.h"
+#include "upstreams/upstream_clock.h"
 #include "upstreams/upstream_health.h"
 #include "upstreams/upstream_listener.h"
 #include "upstreams/upstream_request.h"
@@ -139,6 +140,11 @@
   void PumpReady();
   void Send(std::uint64_t ticket, const ConnectionPool::Connection& connection);
   std::string ControlLines(const Item& item, BootTime now) const;
+  // Takes the clock reading of an answer, if it has one.
+  void ReadClock(const HttpResponse& response, BootTime now);
+  // Whether the upstream has the fence, and its clock is known if it checks
+  // run-before.
+  bool CanSend(BootTime now) const;
   void OnExchangeEnded(std::uint64_t ticket,
                        HttpClientConnection::ExchangeResult result);
   void OnAnswered(std::uint64_t ticket, Item& item, HttpResponse response);
@@ -203,6 +209,7 @@
   std::unique_ptr<RequestRecords> records_;
   ShardDrains drains_;
   UpstreamHealth health_;
+  UpstreamClock clock_;
   LoadCounter load_;
 
   std::unordered_map<std::uint64_t, Item> items_;
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -160,14 +160,18 @@
   AppendHeader(request.header_lines, "Host", upstream_->address);
   AppendHeader(request.header_lines, "Content-Type", "application/json");
   request.body = "{\"fence\": " + std::to_string(lease_->fence) + "}";
-  StartCall(grant_, false, FormatRequest(request, {}),
-            [this](const std::optional<HttpResponse>& response) {
-              // An upstream that does not check fences may not know grants.
-              EndGrant(response && (response->status / 100 == 2 ||
-                                    !service_->settings.checks_fence));
-              if (!response)
-                OnTrouble();
-            });
+  StartCall(
+      grant_, false, FormatRequest(request, {}),
+      [this](const std::optional<HttpResponse>& response) {
+        if (response)
+          ReadClock(*response, BootClock::now());
+        // An upstream that does not check fences may not know grants.
+        const bool checks = service_->settings.checks_fence;
+        EndGrant(response && (!checks || (response->status / 100 == 2 &&
+                                          clock_.IsCurrent(BootClock::now()))));
+        if (!response)
+          OnTrouble();
+      });
 }
 
 void UpstreamLeader::EndGrant(bool accepted) {
@@ -306,6 +310,7 @@
   lost_fingerprints_.clear();
   // It may have been restarted: it gets the fence again before any request.
   granted_ = false;
+  clock_.Reset();
   next_grant_ = BootTime();
   context_.request_tick();
   ReleaseHeld(BootClock::now(), true);
--- a/standins/upstream_service.cc
+++ b/standins/upstream_service.cc
@@ -68,7 +68,12 @@
   if (settings_.checks_fence && number < granted_fence_)
     return Refuse("fence");
   granted_fence_ = std::max(granted_fence_, number);
-  return Json(200, json::object{{"fence", granted_fence_}});
+  return WithClock(Json(200, json::object{{"fence", granted_fence_}}));
+}
+
+HttpService::Response UpstreamService::WithClock(Response response) {
+  response.set("Pollenrudder-Clock", std::to_string(BootMilliseconds()));
+  return response;
 }
 
 asio::awaitable<std::optional<HttpService::Response>> UpstreamService::Run(
@@ -148,9 +153,10 @@
     return "deadline";
   if (!settings_.checks_fence)
     return nullptr;
+  // On the own clock: a request may have waited in the socket buffer.
   const std::string run_before = Header(request, "Pollenrudder-Run-Before");
   if (!run_before.empty() &&
-      waited >= static_cast<std::int64_t>(Number(run_before)))
+      BootMilliseconds() >= static_cast<std::int64_t>(Number(run_before)))
     return "run_before";
   const std::uint64_t fence = Number(Header(request, "Pollenrudder-Fence"));
   std::uint64_t& newest = shard_fences_[Header(request, "Pollenrudder-Shard")];
@@ -164,7 +170,7 @@
   ++counts_[std::string("refused_") + reason];
   Response response = Empty(503);
   response.set("Pollenrudder-Not-Run", "1");
-  return response;
+  return WithClock(std::move(response));
 }
 
 std::optional<HttpService::Response> UpstreamService::Answer(
@@ -180,7 +186,7 @@
       std::min<std::size_t>(Number(Query(request, "pad")), kMaxPadding);
   if (padding > 0)
     body["pad"] = std::string(padding, 'x');
-  Response response = Json(200, body);
+  Response response = WithClock(Json(200, body));
   std::string id = execution.request_id;
   if (settings_.swap > 0 && !previous_body_.empty()) {
     --settings_.swap;
--- a/standins/upstream_service.h
+++ b/standins/upstream_service.h
@@ -49,6 +49,8 @@
 
   // Returns the reason for a refusal before running, or null.
   const char* FindRefusal(const Request& request, std::int64_t arrived);
+  // Adds the reading of the own clock, on which run-before is checked.
+  static Response WithClock(Response response);
   Response Refuse(const char* reason);
   std::optional<Response> Answer(const Request& request,
                                  const Execution& execution);
