--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -50,7 +50,12 @@
     drains_.Resume({}, true);
   }
   lease_ = lease;
-  released_ = false;
+  // The end of a lease that comes after the table of the next leader must not
+  // take the upstream back.
+  if (released_ && HasLease(now)) {
+    released_ = false;
+    SetTable(table_);
+  }
   Tick(now);
 }
 
@@ -132,7 +137,7 @@
 }
 
 bool UpstreamLeader::needs_tick(BootTime now) const {
-  if (!items_.empty() || !held_.empty() || drains_.is_waiting() ||
+  if (released_ || !items_.empty() || !held_.empty() || drains_.is_waiting() ||
       probe_.active || grant_.active)
     return true;
   return HasLease(now) && (!granted_ || health_.state() != State::kReachable);
