--- a/standins/upstream_settings.cc
+++ b/standins/upstream_settings.cc
@@ -40,6 +40,7 @@
   read("connections", connections);
   read("checks_fence", checks_fence);
   read("echoes_request_id", echoes_request_id);
+  read("accepts_cancellation", accepts_cancellation);
   read("cold_ms", cold_ms);
   read("cold_factor", cold_factor);
   read("shed", shed);
--- a/standins/upstream_settings.h
+++ b/standins/upstream_settings.h
@@ -22,6 +22,10 @@
   std::size_t connections = 110;
   bool checks_fence = true;
   bool echoes_request_id = true;
+  // A request whose caller has closed the connection is not started. Without
+  // this, what a frozen upstream had received runs when it resumes: run-before
+  // counts from the arrival at the process, which is after the freeze.
+  bool accepts_cancellation = true;
   // For this long after the start, requests take `cold_factor` times longer.
   std::chrono::milliseconds cold_ms{0};
   int cold_factor = 4;
