--- /dev/null
+++ b/packages/ownership/control_context.h
@@ -0,0 +1,121 @@
+// ControlContext: what the parts of Controller share.
+
+#ifndef POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
+#define POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/boot_clock.h"
+#include "base/log_event.h"
+#include "base/log_field.h"
+#include "ownership/controller_action.h"
+#include "ownership/controller_options.h"
+#include "ownership/instance_directory.h"
+#include "ownership/lease_durations.h"
+#include "ownership/log_replay.h"
+#include "ownership/record_appender.h"
+#include "ownership/stop_schedule.h"
+
+namespace pollenrudder {
+
+// Lives as long as the Controller. Each part reads it, appends records through
+// it and adds its actions to it.
+struct ControlContext {
+  explicit ControlContext(ControllerOptions controller_options)
+      : options(std::move(controller_options)),
+        durations(LeaseDurations::FromOptions(options)),
+        replay(durations),
+        appender(options.instance) {}
+
+  const ControllerOptions options;
+  const LeaseDurations durations;
+  LogReplay replay;
+  InstanceDirectory directory;
+  StopSchedule stops;
+  RecordAppender appender;
+
+  // The moment of the input that is handled.
+  Now now{};
+  std::vector<ControllerAction> actions;
+  // The newest proof time of a read that completed the table.
+  std::optional<BootTime> last_proof;
+  std::uint64_t next_drain_id = 1;
+  // By instance: when its last message arrived. The instance list goes on
+  // showing the instances of a zone that is cut off.
+  std::map<std::string, BootTime> heard;
+  bool leaving = false;
+  // Sent after the routing table, which may have closed the shards for good.
+  std::vector<ResumeShards> resumes;
+  // Set by a part that waits for a read of the log.
+  bool read_wanted = false;
+
+  const OwnershipTable& table() const { return replay.table(); }
+  const Document& document() const { return replay.table().document(); }
+  const std::string& self() const { return options.instance; }
+
+  // Starts a drain and returns its id.
+  std::uint64_t Drain(DrainShards drain) {
+    drain.drain_id = next_drain_id++;
+    Act(drain);
+    return drain.drain_id;
+  }
+
+  void Act(ControllerAction action) { actions.push_back(std::move(action)); }
+
+  void Decide(const LogEvent& event, std::vector<LogField> fields) {
+    actions.emplace_back(LogDecision{event, std::move(fields)});
+  }
+
+  std::string Append(LogRecordBody body) {
+    return appender.Append(std::move(body), now.boot, actions);
+  }
+
+  // Whether this version may write records to this log at all.
+  bool MayChange() const {
+    return !replay.changes_stopped() && !replay.seeking_checkpoint();
+  }
+
+  // Whether the log was read a moment ago, so that a record is likely to be
+  // appended and to meet its precondition. If not, the log is read at once.
+  bool ReadyToAppend() {
+    if (!MayChange())
+      return false;
+    if (ReadWithin(options.log_lease / 2))
+      return true;
+    read_wanted = true;
+    return false;
+  }
+
+  // Whether an instance of the zone sent a message lately. Instances exchange
+  // load reports every 2 s and promises every 250 ms.
+  bool HeardFromZone(const std::string& zone) const {
+    constexpr std::chrono::seconds kLately{3};
+    for (const ListedInstance& entry : directory.instances()) {
+      const auto last = heard.find(entry.name);
+      if (entry.zone == zone && last != heard.end() &&
+          now.boot - last->second < kLately) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool ReadWithin(std::chrono::nanoseconds age) const {
+    return last_proof && now.boot - *last_proof < age;
+  }
+
+  // Whether this instance takes no new leadership and gives its own up.
+  bool GivesUpLeadership() const {
+    return leaving || StopSchedule::IsInstanceStopping(
+                          document(), directory, options.instance, now.wall);
+  }
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
--- /dev/null
+++ b/packages/ownership/controller_core.cc
@@ -0,0 +1,304 @@
+// Dispatch of inputs to the parts of Controller.
+
+#include "ownership/controller_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ownership/ownership_events.h"
+#include "ownership/routing_table_builder.h"
+#include "ownership/status_report.h"
+
+namespace pollenrudder {
+
+Controller::Core::Core(ControllerOptions options)
+    : context_(std::move(options)),
+      claimant_(context_),
+      leases_(context_,
+              [this](const std::string& upstream) {
+                return claimant_.OwnPromiseEnd(upstream);
+              }),
+      loads_(context_),
+      targets_(context_,
+               [this](const std::string& service, std::uint32_t shard) {
+                 return loads_.LoadOf(service, shard);
+               }),
+      placer_(context_, targets_),
+      moves_(context_,
+             leases_,
+             targets_,
+             [this](const std::string& upstream) {
+               return handover_.InProgress(upstream);
+             }),
+      handover_(context_, leases_, moves_),
+      checkpoints_(context_) {}
+
+std::vector<ControllerAction> Controller::Core::Handle(
+    const ControllerInput& input,
+    const Now& now) {
+  context_.now = now;
+  context_.read_wanted = false;
+  if (std::exchange(snapshot_loaded_, false)) {
+    OnTableChanged();
+    MarkAllFingerprints();
+  }
+  std::visit([this](const auto& event) { On(event); }, input);
+  leases_.PublishLeases();
+  PublishRoutingTable();
+  for (ResumeShards& resume : context_.resumes)
+    context_.Act(std::move(resume));
+  context_.resumes.clear();
+  FinishLeave();
+  ReadLogIfWanted();
+  return std::exchange(context_.actions, {});
+}
+
+std::vector<std::string> Controller::Core::Snapshot() const {
+  return context_.replay.Snapshot();
+}
+
+Result<void> Controller::Core::LoadSnapshot(
+    const std::vector<std::string>& parts) {
+  BOOST_OUTCOME_TRY(context_.replay.LoadSnapshot(parts));
+  snapshot_loaded_ = true;
+  return boost::outcome_v2::success();
+}
+
+std::string Controller::Core::StatusJson(const Now& now) const {
+  return ReportStatus(context_, leases_, moves_, targets_, checkpoints_, now);
+}
+
+void Controller::Core::On(const LogRecordsRead& read) {
+  log_failing_ = false;
+  first_retained_ = std::max(first_retained_, read.first_retained);
+  const bool was_seeking = context_.replay.seeking_checkpoint();
+  const LogReplay::Outcome outcome =
+      context_.replay.OnLogRead(read, context_.now.boot);
+  if (outcome.error)
+    context_.Decide(kLogRegression, {{"message", outcome.error->message}});
+  if (!was_seeking && context_.replay.seeking_checkpoint()) {
+    context_.Decide(kCheckpointAwaited,
+                    {{"first_retained", read.first_retained}});
+  }
+  if (outcome.loaded_checkpoint) {
+    context_.Decide(kCheckpointLoaded,
+                    {{"applied", context_.table().applied()}});
+    MarkAllFingerprints();
+  }
+  for (const AppliedRecord& applied : outcome.records)
+    OnRecord(applied);
+  if (outcome.loaded_checkpoint || !outcome.records.empty())
+    OnTableChanged();
+  read_again_ = outcome.read_again;
+  if (!outcome.proved)
+    return;
+  context_.last_proof =
+      std::max(context_.last_proof.value_or(read.proof_time), read.proof_time);
+  claimant_.OnLogProof(read.proof_time);
+  leases_.OnLogRead(read.proof_time, true);
+  context_.appender.OnLogProof(read.proof_time, context_.now.boot,
+                               context_.actions);
+}
+
+void Controller::Core::On(const LogReadFailed& /*failure*/) {
+  log_failing_ = true;
+  claimant_.OnLogReadFailed();
+}
+
+void Controller::Core::On(const AppendFinished& finished) {
+  context_.appender.OnAppendFinished(finished, context_.now.boot);
+}
+
+void Controller::Core::On(const PromiseRequested& request) {
+  context_.heard[request.leader] = context_.now.boot;
+  claimant_.OnPromiseRequested(request);
+}
+
+void Controller::Core::On(const PromiseAnswered& answer) {
+  if (answer.answered)
+    context_.heard[answer.voter] = context_.now.boot;
+  leases_.OnPromise(answer);
+  // The voter has read more of the log, perhaps a claim.
+  if (answer.voter_offset >= context_.replay.next_offset())
+    context_.read_wanted = true;
+}
+
+void Controller::Core::On(const InstancesListed& listed) {
+  context_.directory.OnListed(listed.instances, context_.now.boot);
+  UpdateStops();
+}
+
+void Controller::Core::On(const UpstreamObserved& observed) {
+  moves_.OnObserved(observed);
+}
+
+void Controller::Core::On(const FingerprintConfirmed& confirmed) {
+  moves_.OnConfirmed(confirmed);
+}
+
+void Controller::Core::On(const DrainFinished& finished) {
+  moves_.OnDrainFinished(finished);
+  handover_.OnDrainFinished(finished);
+}
+
+void Controller::Core::On(const LoadReported& report) {
+  context_.heard[report.from] = context_.now.boot;
+  loads_.OnReported(report, FirstUpstreams());
+}
+
+void Controller::Core::On(const MoveAdvised& advice) {
+  moves_.OnAdvised(advice);
+}
+
+void Controller::Core::On(const LeaveRequested& /*request*/) {
+  if (std::exchange(context_.leaving, true))
+    return;
+  context_.Decide(kLeaveStarted, {{"terms", leases_.LedUpstreams().size()}});
+  handover_.OnTick();
+}
+
+void Controller::Core::On(const Tick& /*tick*/) {
+  context_.appender.OnTick(context_.now.boot);
+  UpdateStops();
+  claimant_.OnTick(leases_);
+  leases_.OnTick();
+  moves_.OnTick();
+  handover_.OnTick();
+  RunLeaderDuties();
+}
+
+void Controller::Core::RunLeaderDuties() {
+  const std::map<std::string, std::string> first = FirstUpstreams();
+  for (const auto& [service, upstream] : first) {
+    if (!leases_.IsActive(upstream) || !context_.MayChange())
+      continue;
+    placer_.OnTick(service);
+    if (!routing_ || !routing_->FindService(service))
+      continue;
+    for (const MoveAdvised& advice : loads_.OnTick(service, *routing_))
+      moves_.OnAdvised(advice);
+  }
+  const auto& terms = context_.table().state().terms;
+  if (!terms.empty() && leases_.IsActive(terms.begin()->first))
+    checkpoints_.OnTick(first_retained_);
+}
+
+std::map<std::string, std::string> Controller::Core::FirstUpstreams() const {
+  std::map<std::string, std::string> first;
+  for (const auto& [upstream, term] : context_.table().state().terms)
+    first.try_emplace(term.service, upstream);
+  return first;
+}
+
+void Controller::Core::OnRecord(const AppliedRecord& applied) {
+  LogOutcome(applied);
+  if (!applied.record)
+    return;
+  const LogRecord& record = *applied.record;
+  if (const auto* move = std::get_if<MoveRecord>(&record.body)) {
+    Mark(move->service, move->suspects, {}, move->suspects_until);
+  } else if (const auto* mark = std::get_if<QuarantineRecord>(&record.body)) {
+    Mark(mark->service, {}, {mark->fingerprint}, mark->until);
+  } else if (const auto* part = std::get_if<CheckpointRecord>(&record.body)) {
+    checkpoints_.OnCheckpointRead(applied.offset, *part);
+  }
+  if (record.by != context_.self())
+    return;
+  context_.appender.OnRecordRead(record.id);
+  claimant_.OnOwnRecord(record);
+}
+
+void Controller::Core::LogOutcome(const AppliedRecord& applied) {
+  using Effect = AppliedRecord::Effect;
+  if (!applied.record) {
+    context_.Decide(applied.effect == Effect::kUnsupported ? kRecordUnsupported
+                                                           : kRecordMalformed,
+                    {{"offset", applied.offset}, {"reason", applied.reason}});
+    return;
+  }
+  const LogRecord& record = *applied.record;
+  if (const auto* section = std::get_if<SectionRecord>(&record.body)) {
+    const bool in_force = applied.effect == Effect::kApplied;
+    context_.Decide(in_force ? kSectionApplied : kSectionRefused,
+                    {{"team", section->team},
+                     {"offset", applied.offset},
+                     {"reason", applied.reason}});
+  } else if (!applied.reason.empty() &&
+             !std::holds_alternative<CheckpointRecord>(record.body)) {
+    context_.Decide(kRecordIgnored, {{"offset", applied.offset},
+                                     {"record", record.id},
+                                     {"reason", applied.reason}});
+  }
+}
+
+void Controller::Core::MarkAllFingerprints() {
+  const TableState& state = context_.table().state();
+  for (const FingerprintMark& mark : state.suspects)
+    Mark(mark.service, {mark.fingerprint}, {}, mark.until);
+  for (const FingerprintMark& mark : state.quarantined)
+    Mark(mark.service, {}, {mark.fingerprint}, mark.until);
+}
+
+void Controller::Core::Mark(const std::string& service,
+                            const std::vector<std::uint64_t>& suspects,
+                            const std::vector<std::uint64_t>& quarantined,
+                            WallTime until) {
+  if (until <= context_.now.wall || (suspects.empty() && quarantined.empty()))
+    return;
+  context_.Act(MarkFingerprints{service, suspects, quarantined});
+}
+
+void Controller::Core::FinishLeave() {
+  if (!context_.leaving || leave_finished_ ||
+      !handover_.IsEverythingHandedOver()) {
+    return;
+  }
+  leave_finished_ = true;
+  context_.Decide(kLeaveCompleted,
+                  {{"terms_left", leases_.LedUpstreams().size()}});
+  context_.Act(LeaveFinished{});
+}
+
+void Controller::Core::OnTableChanged() {
+  claimant_.OnTableChanged();
+  leases_.OnTableChanged();
+  UpdateStops();
+  handover_.OnTableChanged();
+  moves_.OnTableChanged();
+  routing_outdated_ = true;
+}
+
+void Controller::Core::UpdateStops() {
+  for (const std::string& upstream : context_.stops.Update(
+           context_.table(), context_.directory, context_.now)) {
+    routing_outdated_ = true;
+    const bool stopping = context_.stops.IsUpstreamStopping(upstream);
+    context_.Decide(kUpstreamStopping,
+                    {{"upstream", upstream}, {"stopping", stopping}});
+  }
+}
+
+void Controller::Core::PublishRoutingTable() {
+  if (!std::exchange(routing_outdated_, false))
+    return;
+  routing_ = BuildRoutingTable(context_.table(), context_.stops);
+  context_.Act(pollenrudder::PublishRoutingTable{routing_});
+}
+
+void Controller::Core::ReadLogIfWanted() {
+  const BootTime now = context_.now.boot;
+  const bool urgent =
+      context_.read_wanted || context_.appender.WantsLogRead(now);
+  if (!read_again_ && !urgent && !leases_.WantsLogRead())
+    return;
+  const std::chrono::nanoseconds interval =
+      urgent && !log_failing_ ? std::chrono::nanoseconds(kUrgentRead)
+                              : context_.options.log_read;
+  if (!read_again_ && last_read_sent_ && now < *last_read_sent_ + interval)
+    return;
+  read_again_ = false;
+  last_read_sent_ = now;
+  context_.Act(ReadLogNow{context_.replay.next_offset()});
+}
+
+}  // namespace pollenrudder
