--- a/packages/ownership/controller_core.cc
+++ b/packages/ownership/controller_core.cc
@@ -110,10 +110,13 @@
 }
 
 void Controller::Core::On(const PromiseRequested& request) {
+  context_.heard[request.leader] = context_.now.boot;
   claimant_.OnPromiseRequested(request);
 }
 
 void Controller::Core::On(const PromiseAnswered& answer) {
+  if (answer.answered)
+    context_.heard[answer.voter] = context_.now.boot;
   leases_.OnPromise(answer);
   // The voter has read more of the log, perhaps a claim.
   if (answer.voter_offset >= context_.replay.next_offset())
@@ -139,6 +142,7 @@
 }
 
 void Controller::Core::On(const LoadReported& report) {
+  context_.heard[report.from] = context_.now.boot;
   loads_.OnReported(report, FirstUpstreams());
 }
 
--- a/packages/ownership/lease_keeper.h
+++ b/packages/ownership/lease_keeper.h
@@ -33,6 +33,11 @@
   // heartbeats, so that the revise is read before the voter claims.
   static constexpr std::chrono::milliseconds kSilentVoter{550};
 
+  // For so long an instance that was silent is not chosen again. Without it, a
+  // leader outside a cut zone tried the zone's instances in turn and appended a
+  // revise every second for as long as the cut lasted.
+  static constexpr std::chrono::seconds kSilentMemory{120};
+
   // Tells when the own promise for an upstream runs out; see PromiseBook.
   using OwnPromiseEnd =
       std::function<std::optional<BootTime>(const std::string& upstream)>;
@@ -94,6 +99,8 @@
   void LogTransition(Led& led);
   void Publish(bool only_shorter);
   void SendHeartbeats();
+  // Notes voters that are silent now, and forgets those that were long ago.
+  void RememberSilentVoters();
   void ReviseVoters();
   // Returns the entry that brings the term up to date, if it is outdated.
   std::optional<TermEntry> RevisedEntry(const Led& led) const;
@@ -102,6 +109,8 @@
   const OwnPromiseEnd own_promise_end_;
   std::map<std::string, Led, std::less<>> led_;
   std::optional<BootTime> last_heartbeat_;
+  // Until when an instance counts as silent.
+  std::map<std::string, BootTime> silent_until_;
 };
 
 // Returns an entry that repeats `term` as the replacement of `term`.
