--- a/packages/ownership/controller_fixture_test.h
+++ b/packages/ownership/controller_fixture_test.h
@@ -121,6 +121,11 @@
     }
     return found;
   }
+  // All actions of an instance, oldest first.
+  const std::vector<ControllerAction>& History(
+      const std::string& instance) const {
+    return history_.at(instance);
+  }
   std::vector<std::string> EventNames(const std::string& instance) const;
   const std::vector<std::string>& violations() const { return violations_; }
   std::chrono::nanoseconds elapsed() const { return elapsed_; }
--- a/packages/ownership/controller_test.cc
+++ b/packages/ownership/controller_test.cc
@@ -91,6 +91,34 @@
   REQUIRE(fixture.violations().empty());
 }
 
+// Guards against an old leader that serves on after its handover took effect.
+TEST_CASE("a lease ends before its handover is appended") {
+  ControllerFixture fixture;
+  StartZone(fixture);
+  REQUIRE(fixture.RunUntil([&] { return fixture.AllServed("geodata"); }, 10s));
+  const std::string leader = fixture.Sender("u1");
+  fixture.Input(leader, LeaveRequested{});
+  fixture.Run(1s);
+  BootTime valid_until;
+  std::size_t handovers = 0;
+  for (const ControllerAction& action : fixture.History(leader)) {
+    if (const auto* lease = std::get_if<SetLease>(&action)) {
+      if (lease->upstream == "u1")
+        valid_until = lease->valid_until;
+    } else if (const auto* append = std::get_if<AppendRecord>(&action)) {
+      const auto record = DecodeLogRecord(append->data);
+      const auto* term = std::get_if<TermRecord>(&record.value().body);
+      if (!term || term->entries[0].upstream != "u1" ||
+          term->entries[0].kind != TermKind::kHandover) {
+        continue;
+      }
+      REQUIRE(valid_until == BootTime{});
+      ++handovers;
+    }
+  }
+  REQUIRE(handovers == 1);
+}
+
 // Guards against a stop that is forgotten with its leader.
 TEST_CASE("a planned stop goes on after its leader dies in the middle") {
   ControllerFixture fixture;
