--- a/packages/ownership/controller_fixture_test.h
+++ b/packages/ownership/controller_fixture_test.h
@@ -121,13 +121,11 @@
     }
     return found;
   }
-  // A log line, with the time and the instance that wrote it.
-  struct Decision {
-    std::chrono::nanoseconds at{0};
-    std::string instance;
-    LogDecision line;
-  };
-  const std::vector<Decision>& decisions() const { return decisions_; }
+  // All actions of an instance, oldest first.
+  const std::vector<ControllerAction>& History(
+      const std::string& instance) const {
+    return history_.at(instance);
+  }
   std::vector<std::string> EventNames(const std::string& instance) const;
   const std::vector<std::string>& violations() const { return violations_; }
   std::chrono::nanoseconds elapsed() const { return elapsed_; }
@@ -166,7 +164,6 @@
   std::multimap<std::chrono::nanoseconds, std::function<void()>> queue_;
   std::map<std::string, std::unique_ptr<Instance>> instances_;
   std::map<std::string, std::vector<ControllerAction>> history_;
-  std::vector<Decision> decisions_;
   std::vector<ListedInstance> listed_;
   std::vector<std::string> log_;
   // Replays `log_` as far as Table() was asked.
