--- a/packages/ownership/control_context.h
+++ b/packages/ownership/control_context.h
@@ -4,6 +4,7 @@
 #define POLLENRUDDER_OWNERSHIP_CONTROL_CONTEXT_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -44,6 +45,9 @@
   // The newest proof time of a read that completed the table.
   std::optional<BootTime> last_proof;
   std::uint64_t next_drain_id = 1;
+  // By instance: when its last message arrived. The instance list goes on
+  // showing the instances of a zone that is cut off.
+  std::map<std::string, BootTime> heard;
   bool leaving = false;
   // Drains and resumes are carried out after the routing table of the same
   // input: a drain would otherwise be ended by a table with the shard's first
@@ -89,6 +93,20 @@
     return false;
   }
 
+  // Whether an instance of the zone sent a message lately. Instances exchange
+  // load reports every 2 s and promises every 250 ms.
+  bool HeardFromZone(const std::string& zone) const {
+    constexpr std::chrono::seconds kLately{3};
+    for (const ListedInstance& entry : directory.instances()) {
+      const auto last = heard.find(entry.name);
+      if (entry.zone == zone && last != heard.end() &&
+          now.boot - last->second < kLately) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   bool ReadWithin(std::chrono::nanoseconds age) const {
     return last_proof && now.boot - *last_proof < age;
   }
--- a/packages/ownership/controller_fixture_test.cc
+++ b/packages/ownership/controller_fixture_test.cc
@@ -320,6 +320,8 @@
   for (const ControllerAction& action :
        instance.controller->Handle(input, TimeOf(name))) {
     history_[name].push_back(action);
+    if (const auto* decision = std::get_if<LogDecision>(&action))
+      decisions_.push_back({elapsed_, name, *decision});
     Carry(name, action);
   }
 }
--- a/packages/ownership/lease_keeper.cc
+++ b/packages/ownership/lease_keeper.cc
@@ -236,7 +236,20 @@
     context_.Act(std::move(request));
 }
 
+void LeaseKeeper::RememberSilentVoters() {
+  const BootTime now = context_.now.boot;
+  std::erase_if(silent_until_,
+                [&](const auto& entry) { return entry.second <= now; });
+  for (const auto& [upstream, led] : led_) {
+    if (now < led.voters_since + kReviseInterval || !led.lease.active(now))
+      continue;
+    for (const std::string& voter : led.lease.SilentVoters(now - kSilentVoter))
+      silent_until_[voter] = now + kSilentMemory;
+  }
+}
+
 void LeaseKeeper::ReviseVoters() {
+  RememberSilentVoters();
   if (!context_.directory.known() || !context_.MayChange())
     return;
   TermRecord record;
@@ -274,9 +287,12 @@
     return std::nullopt;
   }
   const TermState& term = lease.term();
-  std::vector<Voter> voters = ChooseVoters(
-      context_.self(), context_.options.zone, context_.options.region,
-      term.voters, lease.SilentVoters(now - kSilentVoter));
+  std::vector<std::string> silent;
+  for (const auto& entry : silent_until_)
+    silent.push_back(entry.first);
+  std::vector<Voter> voters =
+      ChooseVoters(context_.self(), context_.options.zone,
+                   context_.options.region, term.voters, std::move(silent));
   const std::chrono::nanoseconds hold =
       IsolationHold(term.service, term.isolation_hold);
   const ListedInstance* listed = context_.directory.FindUpstream(term.upstream);
--- a/packages/ownership/term_handover.cc
+++ b/packages/ownership/term_handover.cc
@@ -218,6 +218,9 @@
   const TermState* term = context_.table().FindTerm(upstream);
   if (!term || cause == Cause::kRetire)
     return nullptr;
+  // An instance that can't be reached would get the term and never serve.
+  if (cause == Cause::kReturn && !context_.HeardFromZone(term->zone))
+    return nullptr;
   if (cause != Cause::kLeave)
     return LeastLoaded(term->service, term->zone, kStable);
   for (const std::string& zone : {term->zone, context_.options.zone}) {
--- a/packages/ownership/voter_selection.cc
+++ b/packages/ownership/voter_selection.cc
@@ -47,6 +47,18 @@
   return ordered;
 }
 
+// A zone of which two instances are silent is taken for cut off or lost; trying
+// its other instances in turn would cost a revise each.
+constexpr std::size_t kSilentInZone = 2;
+
+std::size_t CountSilent(const std::vector<Candidate>& ordered,
+                        const std::string& zone) {
+  return static_cast<std::size_t>(std::count_if(
+      ordered.begin(), ordered.end(), [&](const Candidate& candidate) {
+        return candidate.silent && candidate.instance->zone == zone;
+      }));
+}
+
 using Chosen = std::vector<const ListedInstance*>;
 
 Chosen ChooseZonePeers(const std::vector<Candidate>& ordered,
@@ -101,7 +113,12 @@
   const std::vector<Candidate> all = OrderedCandidates(candidates);
   std::vector<Candidate> answering;
   std::copy_if(all.begin(), all.end(), std::back_inserter(answering),
-               [](const Candidate& candidate) { return !candidate.silent; });
+               [&](const Candidate& candidate) {
+                 const std::string& zone = candidate.instance->zone;
+                 return !candidate.silent &&
+                        (zone == candidates.zone ||
+                         CountSilent(all, zone) < kSilentInZone);
+               });
 
   // Without a zone peer (or a far voter) nobody there could claim, so a silent
   // one is still better than none.
--- a/packages/ownership/voter_selection_test.cc
+++ b/packages/ownership/voter_selection_test.cc
@@ -114,6 +114,14 @@
           std::set<std::string>{"a2.1", "c1.1"});
 }
 
+// Guards against a revise for each instance of a zone that is cut off.
+TEST_CASE("a zone with two silent instances has no voter") {
+  VoterCandidates candidates = Candidates();
+  candidates.silent = {"b0.1", "b1.1"};
+  for (const Voter& voter : SelectVoters(candidates))
+    REQUIRE(voter.zone != "b");
+}
+
 // Guards against two candidates with the same rank.
 TEST_CASE("rendezvous ranks are a permutation") {
   const std::vector<std::string> names = {"a", "b", "c", "d"};
