--- a/packages/ownership/controller_fixture_test.h
+++ b/packages/ownership/controller_fixture_test.h
@@ -84,7 +84,7 @@
   void BlockDrains(const std::string& upstream, bool blocked);
   void Observe(const std::string& upstream,
                UpstreamObserved::State state,
-               std::vector<std::uint64_t> fingerprints = {});
+               const std::vector<std::uint64_t>& fingerprints = {});
 
   // The instance that may send to the upstream now, or "".
   std::string Sender(const std::string& upstream) const;
@@ -94,7 +94,7 @@
   bool AllServed(const std::string& service) const;
 
   // The log as an ideal reader sees it.
-  OwnershipTable Table() const;
+  const OwnershipTable& Table() const;
   const std::vector<std::string>& log() const { return log_; }
   // Records of the log of one type, decoded.
   template <typename Body>
@@ -128,6 +128,11 @@
     LogDecision line;
   };
   const std::vector<Decision>& decisions() const { return decisions_; }
+  // All actions of an instance, oldest first.
+  const std::vector<ControllerAction>& History(
+      const std::string& instance) const {
+    return history_.at(instance);
+  }
   std::vector<std::string> EventNames(const std::string& instance) const;
   const std::vector<std::string>& violations() const { return violations_; }
   std::chrono::nanoseconds elapsed() const { return elapsed_; }
@@ -150,6 +155,8 @@
                   std::chrono::nanoseconds deadline,
                   bool wait);
   void FailRead(const std::string& name, bool wait);
+  // Does the work now, or when the paused instance resumes.
+  void WhenRunning(const std::string& name, std::function<void()> work);
   void ListInstances();
   bool CanReachLog(const std::string& instance) const;
   bool ArePeersCut(const std::string& one, const std::string& other) const;
@@ -167,10 +174,13 @@
   std::vector<Decision> decisions_;
   std::vector<ListedInstance> listed_;
   std::vector<std::string> log_;
+  // Replays `log_` as far as Table() was asked.
+  mutable OwnershipTable table_{LeaseDurations{}};
   LogOffset first_retained_ = 1;
   bool log_down_ = false;
   std::set<std::pair<std::string, std::string>> peer_cuts_;
   std::set<std::string> blocked_drains_;
+  std::set<std::string> lost_;
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, std::function<void(const AnswerPromise&)>> calls_;
   std::vector<std::string> violations_;
--- a/packages/ownership/move_manager.cc
+++ b/packages/ownership/move_manager.cc
@@ -35,9 +35,15 @@
       handover_in_progress_(std::move(handover_in_progress)) {}
 
 void MoveManager::OnTableChanged() {
-  // The next leader goes on from the log. Its term ends the drains here.
+  // The next leader goes on from the log. Its term ends the drains here, and
+  // what this instance saw of the upstream counts no more, even if it leads the
+  // upstream again.
   std::erase_if(upstreams_, [this](const auto& entry) {
-    return !leases_.Find(entry.first);
+    const LeaderLease* lease = leases_.Find(entry.first);
+    if (lease && lease->term().leader_since == entry.second.leader_since)
+      return false;
+    targets_.SetLost(entry.first, false);
+    return true;
   });
   std::erase_if(quarantines_, [this](const auto& entry) {
     return !context_.appender.pending(entry.second);
@@ -47,13 +53,13 @@
 }
 
 void MoveManager::OnObserved(const UpstreamObserved& observed) {
+  if (!leases_.Find(observed.upstream))
+    return;
   const bool lost = observed.state == UpstreamObserved::State::kLost;
   targets_.SetLost(observed.upstream, lost);
   context_.Decide(kUpstreamState, {{"upstream", observed.upstream},
                                    {"state", StateName(observed.state)}});
-  if (!leases_.Find(observed.upstream))
-    return;
-  Upstream& upstream = upstreams_[observed.upstream];
+  Upstream& upstream = Track(observed.upstream);
   if (lost) {
     upstream.suspects.insert(upstream.suspects.end(),
                              observed.suspect_fingerprints.begin(),
@@ -77,16 +83,26 @@
 }
 
 void MoveManager::OnAdvised(const MoveAdvised& advice) {
+  FollowAdvice({advice, context_.now.boot + kAdviceLifetime});
+}
+
+void MoveManager::FollowAdvice(const WaitingAdvice& waiting) {
+  const MoveAdvised& advice = waiting.advice;
   const TermState* source = context_.table().FindTerm(advice.upstream);
   const TermState* target = context_.table().FindTerm(advice.target);
   if (!source || !target || source->service != target->service ||
       advice.upstream == advice.target || !targets_.Accepts(advice.target) ||
       targets_.IsLost(advice.upstream) || IsStopping(advice.upstream) ||
       !source->active || !leases_.IsActive(advice.upstream) ||
-      handover_in_progress_(advice.upstream) || !context_.ReadyToAppend()) {
+      handover_in_progress_(advice.upstream)) {
     return;
   }
-  Upstream& upstream = upstreams_[advice.upstream];
+  if (!context_.ReadyToAppend()) {
+    if (context_.now.boot < waiting.until)
+      advice_.push_back(waiting);
+    return;
+  }
+  Upstream& upstream = Track(advice.upstream);
   const std::vector<std::uint32_t> free = FreeShards(advice.upstream, upstream);
   std::vector<std::uint32_t> wanted = advice.shards;
   std::sort(wanted.begin(), wanted.end());
@@ -119,10 +135,14 @@
 }
 
 void MoveManager::OnTick() {
+  for (const WaitingAdvice& waiting : std::exchange(advice_, {}))
+    FollowAdvice(waiting);
   for (const std::string& name : leases_.LedUpstreams()) {
-    const bool concerned = IsStopping(name) || targets_.IsLost(name);
+    const TermState* term = context_.table().FindTerm(name);
+    const bool concerned =
+        IsStopping(name) || targets_.IsLost(name) || (term && term->lost);
     if (concerned || upstreams_.contains(name))
-      Advance(name, upstreams_[name]);
+      Advance(name, Track(name));
   }
 }
 
@@ -146,6 +166,12 @@
   return shards;
 }
 
+MoveManager::Upstream& MoveManager::Track(const std::string& name) {
+  Upstream& upstream = upstreams_[name];
+  upstream.leader_since = leases_.Find(name)->term().leader_since;
+  return upstream;
+}
+
 void MoveManager::Advance(const std::string& name, Upstream& upstream) {
   // A move before the `active` record would be ignored, since the earlier
   // leader may still be sending.
@@ -177,7 +203,8 @@
   std::vector<ShardMove> moves = PlanMoves(name, shards, {});
   if (!shards.empty() && moves.empty())
     LogNoTarget(name, upstream);
-  if (moves.empty() && upstream.suspects.empty())
+  const bool recorded = context_.table().FindTerm(name)->lost;
+  if (moves.empty() && upstream.suspects.empty() && recorded)
     return;
   upstream.no_target_logged = false;
   upstream.lost_record =
@@ -187,12 +214,14 @@
 
 void MoveManager::EndLost(const std::string& name, Upstream& upstream) {
   // While the record is unresolved, the shards may have other owners.
-  if (upstream.whole == WholeDrain::kNone || handover_in_progress_(name) ||
-      context_.appender.pending(upstream.lost_record)) {
+  if (context_.appender.pending(upstream.lost_record))
+    return;
+  if (context_.table().FindTerm(name)->lost && leases_.IsActive(name))
+    upstream.lost_record = SendMove(name, {}, {}, "upstream_reachable");
+  if (upstream.whole == WholeDrain::kNone || handover_in_progress_(name))
     return;
-  }
   upstream.whole = WholeDrain::kNone;
-  context_.resumes.push_back({name, {}, true});
+  context_.after_table.emplace_back(ResumeShards{name, {}, true});
 }
 
 void MoveManager::AdvanceBatches(const std::string& name, Upstream& upstream) {
@@ -281,7 +310,7 @@
 
 void MoveManager::Resume(const std::string& name,
                          const std::vector<std::uint32_t>& shards) {
-  context_.resumes.push_back({name, shards, false});
+  context_.after_table.emplace_back(ResumeShards{name, shards, false});
 }
 
 std::vector<ShardMove> MoveManager::PlanMoves(
@@ -323,7 +352,7 @@
           context_.now.wall + kMarkLifetime);
   return context_.Append(MoveRecord{name, term->term, term->service,
                                     std::move(moves), std::move(suspects),
-                                    until});
+                                    until, targets_.IsLost(name)});
 }
 
 void MoveManager::LogNoTarget(const std::string& name, Upstream& upstream) {
