--- a/apps/pollenrudderd/daemon.cc
+++ b/apps/pollenrudderd/daemon.cc
@@ -41,6 +41,12 @@
 }  // namespace
 
 Result<std::unique_ptr<Daemon>> Daemon::Start(const DaemonSettings& settings) {
+  // Serving without TLS what the settings want to be served with it would
+  // send requests and answers unprotected.
+  if (settings.caller_tls || settings.peer_tls) {
+    return MakeError(ErrorKind::kInvalidSettings,
+                     "tls is not supported by this version");
+  }
   std::unique_ptr<Daemon> daemon(new Daemon(settings));
   BOOST_OUTCOME_TRY(daemon->StartThreads());
   daemon->LogStart();
