--- a/apps/pollenrudderd/main.cc
+++ b/apps/pollenrudderd/main.cc
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -18,6 +19,9 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
+// Log lines of one event. Writing a line costs about as much CPU time as a
+// request, so that the lines of each request must stay a small share of it.
+constexpr std::uint32_t kLinesPerSecond = 200;
 
 // Reads and checks the settings; prints every fault.
 std::optional<DaemonSettings> ReadSettings(const std::string& path) {
@@ -51,7 +55,7 @@
 
 int RunDaemon(const DaemonSettings& settings) {
   const sigset_t signals = BlockSignals();
-  EventLog::Initialize();
+  EventLog::Initialize(kLinesPerSecond);
   auto daemon = Daemon::Start(settings);
   if (!daemon) {
     std::cerr << "pollenrudderd: " << daemon.error().message << '\n';
