--- a/packages/routing/routing_events.h
+++ b/packages/routing/routing_events.h
@@ -48,12 +48,6 @@
                                            LogLevel::kWarning};
 // Load on a cold upstream is ramped up.
 inline constexpr LogEvent kUpstreamCold{3014, "upstream_cold", LogLevel::kInfo};
-// Shards without an owner were placed.
-inline constexpr LogEvent kShardsPlaced{3015, "shards_placed", LogLevel::kInfo};
-// The planner advises a move of a shard.
-inline constexpr LogEvent kShardMovePlanned{3016, "shard_move_planned",
-                                            LogLevel::kInfo};
-
 }  // namespace pollenrudder
 
 #endif  // POLLENRUDDER_ROUTING_ROUTING_EVENTS_H_
