Let a leader claim back a term after a short zone cut

Ruled out: delaying foreign claims by the hold, which doubles the time without service after the loss of a zone; never claiming, which leaves the keys of a dead zone to operators. A leader with a wait now serves only after it has read its own active record, and until then the replaced leader may claim the term back.

--- a/packages/ownership/claimant.cc
+++ b/packages/ownership/claimant.cc
@@ -139,12 +139,17 @@
         .own_promise_end = promises_.RunsOutAt(upstream)};
     if (claims_.WantsLogRead(view, context_.now.boot))
       context_.read_wanted = true;
-    if (claims_.MayClaim(view, context_.now.boot))
+    if (claims_.MayClaim(view, context_.now.boot) || WantsClaimBack(term))
       record.entries.push_back(ClaimEntry(term, TermKind::kClaim, leases));
   }
   SendClaims(std::move(record));
 }
 
+bool Claimant::WantsClaimBack(const TermState& term) {
+  return MayClaimBack(context_.document(), term, context_.self()) &&
+         !claims_.unresolved(term.upstream) && context_.ReadyToAppend();
+}
+
 void Claimant::ClaimDeclaredLost(const LeaseKeeper& leases) {
   Candidacies candidacies;
   TermRecord record;
--- a/packages/ownership/claimant.h
+++ b/packages/ownership/claimant.h
@@ -53,6 +53,7 @@
   void ProposeFirstTerms(const LeaseKeeper& leases);
   void Claim(const LeaseKeeper& leases);
   void ClaimDeclaredLost(const LeaseKeeper& leases);
+  bool WantsClaimBack(const TermState& term);
   void AbandonClaims();
   bool MayPromise(const std::string& leader, const PromisedTerm& term) const;
 
--- a/packages/ownership/lease_keeper.cc
+++ b/packages/ownership/lease_keeper.cc
@@ -110,8 +110,10 @@
 
 void LeaseKeeper::Publish(bool only_shorter) {
   for (auto& [upstream, led] : led_) {
-    if (context_.now.boot < led.lease.active_from())
+    if (context_.now.boot < led.lease.active_from() ||
+        !IsRecordedActive(upstream)) {
       continue;
+    }
     const BootTime end = std::max(led.lease.ValidUntil(), BootTime{});
     if (led.published == end || (!led.published && end == BootTime{}))
       continue;
@@ -124,7 +126,13 @@
 
 bool LeaseKeeper::IsActive(std::string_view upstream) const {
   const LeaderLease* lease = Find(upstream);
-  return lease && lease->active(context_.now.boot);
+  return lease && lease->active(context_.now.boot) &&
+         IsRecordedActive(upstream);
+}
+
+bool LeaseKeeper::IsRecordedActive(std::string_view upstream) const {
+  const TermState* term = context_.table().FindTerm(upstream);
+  return term && term->active;
 }
 
 LeaderLease* LeaseKeeper::Find(std::string_view upstream) {
@@ -206,7 +214,7 @@
 }
 
 void LeaseKeeper::LogTransition(Led& led) {
-  const bool active = led.lease.active(context_.now.boot);
+  const bool active = IsActive(led.lease.term().upstream);
   if (active == led.was_active)
     return;
   led.was_active = active;
--- a/packages/ownership/lease_keeper.h
+++ b/packages/ownership/lease_keeper.h
@@ -93,6 +93,9 @@
     std::string revise_record;
   };
 
+  // Whether the term's `active` record was read, so that it can't be claimed
+  // back.
+  bool IsRecordedActive(std::string_view upstream) const;
   void StartLease(const TermState& term);
   void UpdateLease(Led& led, const TermState& term);
   void RecordActive(Led& led);
--- a/packages/ownership/ownership_table_test.cc
+++ b/packages/ownership/ownership_table_test.cc
@@ -181,6 +181,39 @@
   }
 }
 
+// Guards against keys that stay unserved after a short zone cut, and against a
+// claim back that overtakes a leader that serves already.
+TEST_CASE("a zone that was cut off claims back a term that is not active") {
+  Log log = StartedLog();
+  TermEntry foreign =
+      Entry("u1", log.TermOf("u1"), TermKind::kClaim, "b1.1", "b");
+  foreign.wait = 5050ms;
+  REQUIRE(log.Term("b1.1", foreign) == Effect::kApplied);
+  const LogOffset waiting = log.TermOf("u1");
+  TermEntry back = Entry("u1", waiting, TermKind::kClaim, "a1.1");
+  back.voters = {{"a2.1", "a", "a2:2"}};
+
+  SECTION("by the replaced leader, with the wait of the log lease") {
+    REQUIRE(log.Term("a1.1", back) == Effect::kApplied);
+    REQUIRE_FALSE(log.table.FindTerm("u1")->active);
+    REQUIRE(log.Append("b1.1", ActiveRecord{"u1", waiting}) ==
+            Effect::kIgnored);
+  }
+  SECTION("not with a shorter wait") {
+    back.wait = kLogWait - 1ms;
+    REQUIRE(log.Term("a1.1", back) == Effect::kIgnored);
+  }
+  SECTION("not by another instance of the zone") {
+    back.leader = "a3.1";
+    REQUIRE(log.Term("a3.1", back) == Effect::kIgnored);
+  }
+  SECTION("not once the claimant is active") {
+    REQUIRE(log.Append("b1.1", ActiveRecord{"u1", waiting}) ==
+            Effect::kApplied);
+    REQUIRE(log.Term("a1.1", back) == Effect::kIgnored);
+  }
+}
+
 TEST_CASE("an abandoned record is ignored if it comes later") {
   Log log = StartedLog();
   const LogOffset term = log.TermOf("u1");
--- a/packages/ownership/term_rules.cc
+++ b/packages/ownership/term_rules.cc
@@ -39,8 +39,10 @@
                        std::string_view by) {
   if (entry.leader != by)
     return "claimed for another instance";
-  if (entry.kind == TermKind::kClaim && !IsVoter(current, by))
+  if (entry.kind == TermKind::kClaim && !IsVoter(current, by) &&
+      !MayClaimBack(document, current, by)) {
     return "claimant is not a voter";
+  }
   if (entry.kind == TermKind::kDeclaredLost &&
       !MayClaimDeclaredLost(document, current, by)) {
     return "leader is not declared lost";
@@ -83,6 +85,15 @@
          Contains(section->lost_instances, name);
 }
 
+bool MayClaimBack(const Document& document,
+                  const TermState& current,
+                  std::string_view claimant) {
+  return !current.active && current.replaced_leader == claimant &&
+         current.replaced_leader_zone != current.leader_zone &&
+         !IsDeclaredLost(document, current.service, claimant,
+                         current.replaced_leader_zone);
+}
+
 bool MayClaimDeclaredLost(const Document& document,
                           const TermState& current,
                           std::string_view claimant) {
@@ -98,6 +109,10 @@
                                       std::string_view claimant_zone,
                                       TermKind kind) {
   std::chrono::nanoseconds lease = durations.log_lease;
+  // The term's leader has not served, and its wait covers only the lease of
+  // the claimant itself.
+  if (kind == TermKind::kClaim && MayClaimBack(document, current, claimant))
+    return durations.Lengthened(lease);
   if (kind == TermKind::kDeclaredLost) {
     lease = std::max(lease, durations.promise);
     // The claimant never served in its own inactive term, and the only lease
--- a/packages/ownership/term_rules.h
+++ b/packages/ownership/term_rules.h
@@ -21,6 +21,14 @@
                     std::string_view instance,
                     std::string_view zone);
 
+// Whether `claimant` may claim back the term that an instance of another zone
+// claimed from it and that is not yet active: the zone was only cut off. A
+// leader serves only after it has read its own `active` record, so the log
+// orders that record and the claim back, and only one of them takes effect.
+bool MayClaimBack(const Document& document,
+                  const TermState& current,
+                  std::string_view claimant);
+
 // Whether a `declared_lost` claim by `claimant` over `current` is allowed: its
 // leader is declared lost, or `claimant` leads it, it is not yet active, and
 // the leader that it waits for is declared lost.
