Build a new routing table only for records that change routes

Checkpoint parts are most of the records (1.2/s). Ruled out: leaving the offset of the table to advance without a new table; it is shown to operators only.

--- a/packages/ownership/controller_core.cc
+++ b/packages/ownership/controller_core.cc
@@ -10,6 +10,21 @@
 #include "ownership/status_report.h"
 
 namespace pollenrudder {
+namespace {
+
+// Whether the routing table differs after the record. To build it takes 20 ms
+// and more at the two-year size, and checkpoint parts are most of the records.
+bool ChangesRouting(const AppliedRecord& applied) {
+  if (applied.effect != AppliedRecord::Effect::kApplied || !applied.record)
+    return false;
+  const LogRecordBody& body = applied.record->body;
+  return !std::holds_alternative<ActiveRecord>(body) &&
+         !std::holds_alternative<AbandonRecord>(body) &&
+         !std::holds_alternative<QuarantineRecord>(body) &&
+         !std::holds_alternative<CheckpointRecord>(body);
+}
+
+}  // namespace
 
 Controller::Core::Core(ControllerOptions options)
     : context_(std::move(options)),
@@ -40,6 +55,7 @@
   context_.read_wanted = false;
   if (std::exchange(snapshot_loaded_, false)) {
     OnTableChanged();
+    routing_outdated_ = true;
     MarkAllFingerprints();
   }
   std::visit([this](const auto& event) { On(event); }, input);
@@ -89,6 +105,9 @@
     OnRecord(applied);
   if (outcome.loaded_checkpoint || !outcome.records.empty())
     OnTableChanged();
+  routing_outdated_ = routing_outdated_ || outcome.loaded_checkpoint ||
+                      std::any_of(outcome.records.begin(),
+                                  outcome.records.end(), ChangesRouting);
   read_again_ = outcome.read_again;
   if (!outcome.proved)
     return;
@@ -271,7 +290,6 @@
   UpdateStops();
   handover_.OnTableChanged();
   moves_.OnTableChanged();
-  routing_outdated_ = true;
 }
 
 void Controller::Core::UpdateStops() {
--- a/packages/ownership/ownership_bench.cc
+++ b/packages/ownership/ownership_bench.cc
@@ -212,8 +212,22 @@
     actions =
         controller->Handle(ReadOf(offset++, EncodeLogRecord(record), now), now);
   }
-  std::cout << "one more record: " << MillisecondsSince(start) / kMoves
-            << " ms each\n";
+  std::cout << "a record that changes no route: "
+            << MillisecondsSince(start) / kMoves << " ms each\n";
+
+  start = steady_clock::now();
+  for (int move = 0; move < kMoves; ++move) {
+    const LogOffset previous = move == 0 ? kNoOffset : offset - 1;
+    const LogRecord record{
+        "section-" + std::to_string(move), "operator.bench",
+        SectionRecord{"other", previous,
+                      "team: other\nservices: []\nmax_in_flight: " +
+                          std::to_string(move + 1) + "\n"}};
+    actions =
+        controller->Handle(ReadOf(offset++, EncodeLogRecord(record), now), now);
+  }
+  std::cout << "a record that changes routes: "
+            << MillisecondsSince(start) / kMoves << " ms each\n";
 }
 
 }  // namespace
