Keep one parser of socket addresses, in base

Three packages each had a parser and a formatter of "ip:port" (the duplicates showed in a read of the whole tree). Ruled out: a package of its own for three functions. Before: base, operators, platform and upstreams differed in the errors they gave. After: one piece of code; the tests of the six packages pass.

--- a/packages/upstreams/address.cc
+++ b/packages/base/socket_address.cc
@@ -1,14 +1,12 @@
 // Addresses in the form "ip:port".
 
-#include "upstreams/address.h"
+#include "base/socket_address.h"
 
+#include <charconv>
 #include <cstdint>
-#include <limits>
 
 #include <boost/asio/ip/address.hpp>
 
-#include "upstreams/http_message.h"
-
 namespace pollenrudder {
 
 using boost::asio::ip::tcp;
@@ -25,12 +23,14 @@
   std::string_view ip = address.substr(0, colon);
   if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
     ip = ip.substr(1, ip.size() - 2);
-  const auto port = ParseNumber(address.substr(colon + 1));
+  std::uint16_t port = 0;
+  const char* const end = address.data() + address.size();
+  const auto number = std::from_chars(address.data() + colon + 1, end, port);
   boost::system::error_code error;
   const auto parsed = boost::asio::ip::make_address(std::string(ip), error);
-  if (error || !port || *port > std::numeric_limits<std::uint16_t>::max())
+  if (error || number.ec != std::errc() || number.ptr != end)
     return fail();
-  return tcp::endpoint(parsed, static_cast<std::uint16_t>(*port));
+  return tcp::endpoint(parsed, port);
 }
 
 tcp::endpoint EndpointOf(std::string_view address) {
--- a/packages/upstreams/address.h
+++ b/packages/base/socket_address.h
@@ -1,7 +1,8 @@
-// Addresses in the form "ip:port".
+// Addresses in the form "ip:port". For the packages that do I/O: the header
+// includes Boost.Asio.
 
-#ifndef POLLENRUDDER_UPSTREAMS_ADDRESS_H_
-#define POLLENRUDDER_UPSTREAMS_ADDRESS_H_
+#ifndef POLLENRUDDER_BASE_SOCKET_ADDRESS_H_
+#define POLLENRUDDER_BASE_SOCKET_ADDRESS_H_
 
 #include <string>
 #include <string_view>
@@ -25,4 +26,4 @@
 
 }  // namespace pollenrudder
 
-#endif  // POLLENRUDDER_UPSTREAMS_ADDRESS_H_
+#endif  // POLLENRUDDER_BASE_SOCKET_ADDRESS_H_
--- a/packages/callers/caller_server.cc
+++ b/packages/callers/caller_server.cc
@@ -17,9 +17,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/event_log.h"
+#include "base/socket_address.h"
 #include "callers/caller_session.h"
 #include "callers/callers_events.h"
-#include "upstreams/address.h"
 
 namespace pollenrudder {
 namespace {
--- a/packages/callers/callers_test.cc
+++ b/packages/callers/callers_test.cc
@@ -8,11 +8,11 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "base/socket_address.h"
 #include "callers/caller_server.h"
 #include "callers/forward_handler.h"
 #include "callers/ingress.h"
 #include "routing/shard_of.h"
-#include "upstreams/address.h"
 #include "upstreams/fake_upstream_test.h"
 #include "upstreams/http_parser.h"
 
--- a/packages/callers/forward_pools.cc
+++ b/packages/callers/forward_pools.cc
@@ -10,7 +10,7 @@
 
 #include <boost/asio/post.hpp>
 
-#include "upstreams/address.h"
+#include "base/socket_address.h"
 
 namespace pollenrudder {
 namespace {
--- a/packages/operators/admin_server.cc
+++ b/packages/operators/admin_server.cc
@@ -10,8 +10,8 @@
 #include <thread>
 #include <utility>
 
+#include "base/socket_address.h"
 #include "operators/admin_handler.h"
-#include "operators/socket_address.h"
 
 namespace pollenrudder {
 namespace {
@@ -89,7 +89,7 @@
   Server(const tcp::endpoint& endpoint, AdminHandler& handler)
       : acceptor_(context_, endpoint),
         handler_(handler),
-        address_(FormatAddress(acceptor_.local_endpoint())) {
+        address_(SocketAddressText(acceptor_.local_endpoint())) {
     Accept();
     thread_ = std::thread([this] { context_.run(); });
   }
@@ -126,7 +126,7 @@
 Result<std::unique_ptr<AdminServer>> AdminServer::Start(
     const std::string& address,
     AdminHandler& handler) {
-  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseAddress(address));
+  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseSocketAddress(address));
   try {
     return std::unique_ptr<AdminServer>(
         new AdminServer(std::make_unique<Server>(endpoint, handler)));
--- a/packages/operators/http_client.cc
+++ b/packages/operators/http_client.cc
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-#include "operators/socket_address.h"
+#include "base/socket_address.h"
 
 namespace pollenrudder {
 namespace {
@@ -80,7 +80,7 @@
                                    const std::string& target,
                                    const std::string& body,
                                    std::chrono::milliseconds timeout) {
-  BOOST_OUTCOME_TRY(const auto endpoint, ParseAddress(address));
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseSocketAddress(address));
   http::request<http::string_body> request(
       body.empty() ? http::verb::get : http::verb::post, target, 11);
   request.set(http::field::host, address);
--- a/packages/peers/peer_client.cc
+++ b/packages/peers/peer_client.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include "base/event_log.h"
+#include "base/socket_address.h"
 #include "peers/json_rpc_codec.h"
 #include "peers/peer_channel.h"
 #include "peers/peer_messages.h"
@@ -129,7 +130,7 @@
             ResultCallback callback) {
     auto& channel = channels_[{address, kind}];
     if (!channel) {
-      const auto endpoint = ParseEndpoint(address);
+      const auto endpoint = ParseSocketAddress(address);
       if (!endpoint) {
         channels_.erase({address, kind});
         callback(endpoint.assume_error());
--- a/packages/peers/peer_server.cc
+++ b/packages/peers/peer_server.cc
@@ -26,6 +26,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "base/event_log.h"
+#include "base/socket_address.h"
 #include "peers/json_rpc_codec.h"
 #include "peers/peer_messages.h"
 #include "peers/peers_events.h"
@@ -291,7 +292,7 @@
     Metrics& metrics,
     LogTail& tail,
     Listener& listener) {
-  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseEndpoint(address));
+  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseSocketAddress(address));
   auto context = std::make_unique<asio::io_context>(1);
   tcp::acceptor acceptor(*context);
   boost::system::error_code error;
--- a/packages/peers/peers_test.cc
+++ b/packages/peers/peers_test.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "base/socket_address.h"
 #include "peers/json_rpc_codec.h"
 #include "peers/peer_client.h"
 #include "peers/peer_messages.h"
@@ -52,7 +53,7 @@
   std::string SendRaw(const std::string& bytes) {
     asio::io_context context;
     asio::ip::tcp::socket socket(context);
-    socket.connect(ParseEndpoint(server->address()).value());
+    socket.connect(ParseSocketAddress(server->address()).value());
     boost::system::error_code error;
     asio::write(socket, asio::buffer(bytes), error);
     std::string line;
--- a/packages/platform/http_connection.cc
+++ b/packages/platform/http_connection.cc
@@ -101,26 +101,4 @@
   connected_ = false;
 }
 
-Result<asio::ip::tcp::endpoint> ParseEndpoint(const std::string& address) {
-  const auto colon = address.rfind(':');
-  const auto invalid = [&] {
-    return MakeError(ErrorKind::kInvalidSettings,
-                     "not an ip:port address: " + address);
-  };
-  if (colon == std::string::npos)
-    return invalid();
-  std::string host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-    host = host.substr(1, host.size() - 2);
-  unsigned short port = 0;
-  const char* const end = address.data() + address.size();
-  const auto [last, error] =
-      std::from_chars(address.data() + colon + 1, end, port);
-  boost::system::error_code code;
-  const auto ip = asio::ip::make_address(host, code);
-  if (code || error != std::errc() || last != end)
-    return invalid();
-  return asio::ip::tcp::endpoint(ip, port);
-}
-
 }  // namespace pollenrudder
--- a/packages/platform/http_connection.h
+++ b/packages/platform/http_connection.h
@@ -61,10 +61,6 @@
   std::size_t bytes_received_ = 0;
 };
 
-// Parses "ip:port"; fails with kInvalidSettings.
-Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(
-    const std::string& address);
-
 }  // namespace pollenrudder
 
 #endif  // POLLENRUDDER_PLATFORM_HTTP_CONNECTION_H_
--- a/packages/platform/platform_test.cc
+++ b/packages/platform/platform_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "base/socket_address.h"
 #include "platform/http_connection.h"
 #include "platform/log_tail.h"
 #include "platform/platform_messages.h"
@@ -91,12 +92,12 @@
 
 // Guards against settings that are accepted and fail at run time.
 TEST_CASE("only an IP address with a port is an endpoint") {
-  REQUIRE(ParseEndpoint("127.0.0.1:80").value().port() == 80);
-  REQUIRE(ParseEndpoint("[::1]:80").value().address().is_v6());
+  REQUIRE(ParseSocketAddress("127.0.0.1:80").value().port() == 80);
+  REQUIRE(ParseSocketAddress("[::1]:80").value().address().is_v6());
   for (const char* const text :
        {"", ":", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536",
         "127.0.0.1:8x", "127.0.0.1:-1"})
-    REQUIRE_FALSE(ParseEndpoint(text));
+    REQUIRE_FALSE(ParseSocketAddress(text));
 }
 
 }  // namespace
--- a/packages/platform/platform_thread.cc
+++ b/packages/platform/platform_thread.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "base/socket_address.h"
 #include "platform/input_outbox.h"
 #include "platform/instance_list_client.h"
 #include "platform/log_client.h"
@@ -83,9 +84,9 @@
     Metrics& metrics,
     LogTail& tail,
     RelayReader* relay) {
-  BOOST_OUTCOME_TRY(const auto log, ParseEndpoint(options.log_address));
+  BOOST_OUTCOME_TRY(const auto log, ParseSocketAddress(options.log_address));
   BOOST_OUTCOME_TRY(const auto list,
-                    ParseEndpoint(options.instance_list_address));
+                    ParseSocketAddress(options.instance_list_address));
   auto core = std::make_unique<Core>(std::move(options), log, list, inputs,
                                      metrics, tail, relay);
   return std::unique_ptr<PlatformThread>(new PlatformThread(std::move(core)));
--- a/packages/upstreams/fake_upstream_test.cc
+++ b/packages/upstreams/fake_upstream_test.cc
@@ -10,7 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include "upstreams/address.h"
+#include "base/socket_address.h"
 #include "upstreams/http_message.h"
 
 namespace pollenrudder {
--- a/packages/upstreams/upstream_leader.cc
+++ b/packages/upstreams/upstream_leader.cc
@@ -8,9 +8,9 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/socket_address.h"
 #include "routing/fingerprint.h"
 #include "routing/routing_events.h"
-#include "upstreams/address.h"
 #include "upstreams/upstreams_events.h"
 
 namespace pollenrudder {
@@ -340,17 +340,6 @@
   return lines;
 }
 
-void UpstreamLeader::ReadClock(const HttpResponse& response, BootTime now) {
-  if (const auto reading =
-          FindHeader(response.control_lines, "Pollenrudder-Clock"))
-    clock_.OnReading(*reading, now);
-}
-
-bool UpstreamLeader::CanSend(BootTime now) const {
-  return granted_ &&
-         (!service_->settings.checks_fence || clock_.IsCurrent(now));
-}
-
 void UpstreamLeader::OnExchangeEnded(
     std::uint64_t ticket,
     HttpClientConnection::ExchangeResult result) {
@@ -593,16 +582,6 @@
   return issued;
 }
 
-void UpstreamLeader::RefuseWaiting(ErrorKind error) {
-  std::vector<std::uint64_t> waiting;
-  for (const auto& [ticket, item] : items_) {
-    if (item.state != ItemState::kSent)
-      waiting.push_back(ticket);
-  }
-  for (const std::uint64_t ticket : waiting)
-    Refuse(ticket, error);
-}
-
 void UpstreamLeader::CheckDeadlines(BootTime now) {
   std::vector<std::uint64_t> ended;
   for (const auto& [ticket, item] : items_) {
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -1,4 +1,5 @@
-// UpstreamLeader: grants, probes, loss, drains and the change of tables.
+// UpstreamLeader: grants, the clock, probes, loss, drains and the change of
+// tables.
 
 #include <algorithm>
 #include <cassert>
@@ -77,6 +78,16 @@
   drains_.Resume(resume.shards, resume.whole);
 }
 
+void UpstreamLeader::RefuseWaiting(ErrorKind error) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [ticket, item] : items_) {
+    if (item.state != ItemState::kSent)
+      waiting.push_back(ticket);
+  }
+  for (const std::uint64_t ticket : waiting)
+    Refuse(ticket, error);
+}
+
 void UpstreamLeader::Drain(const DrainShards& drain) {
   EventLog::Write(kUpstreamDrainStarted,
                   {{"upstream", name_},
@@ -157,6 +168,17 @@
                       now);
 }
 
+void UpstreamLeader::ReadClock(const HttpResponse& response, BootTime now) {
+  if (const auto reading =
+          FindHeader(response.control_lines, "Pollenrudder-Clock"))
+    clock_.OnReading(*reading, now);
+}
+
+bool UpstreamLeader::CanSend(BootTime now) const {
+  return granted_ &&
+         (!service_->settings.checks_fence || clock_.IsCurrent(now));
+}
+
 void UpstreamLeader::StartGrant(BootTime now) {
   next_grant_ = now + kGrantPause;
   HttpRequest request;
