--- a/docs/decisions/isolation_hold.py
+++ b/docs/decisions/isolation_hold.py
@@ -71,7 +71,7 @@
 
 def messages():
     """Promise messages of one daemon at 770 daemons, for 0001."""
-    voters, heartbeat = 5, 0.25
+    voters, heartbeat = 5, 0.4
     requests = voters / heartbeat
     for terms in (1, 2, 4):
         # JSON-RPC envelope and one {"upstream", "term"} of about 40 bytes.
