--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -164,7 +164,7 @@
         [(OWNERSHIP + "ownership_table.cc",
           "shard.upstream != body.upstream || shard.placed != move.placed",
           "shard.upstream != body.upstream")],
-        target="ownership_test", case=""),
+        target="ownership_test", case="shards are placed once and moved by their leader only"),
     Mutation(
         "request-epoch",
         "a leader sends a request that was routed by another epoch",
