--- a/packages/ownership/ownership_bench.cc
+++ b/packages/ownership/ownership_bench.cc
@@ -42,6 +42,10 @@
          static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
 }
 
+double Megabytes(std::size_t bytes) {
+  return static_cast<double>(bytes) / 1e6;
+}
+
 double MillisecondsSince(steady_clock::time_point start) {
   return duration<double, std::milli>(steady_clock::now() - start).count();
 }
@@ -62,9 +66,13 @@
   std::string text = "team: all\nservices:\n";
   for (std::uint32_t service = 0; service < size.services; ++service) {
     const std::string name = "service-" + std::to_string(service);
-    text += "  - {name: " + name + ", path_prefix: /" + name +
-            "/, key: {header: Key}, shards: " + std::to_string(size.shards) +
-            ", slots: 6, connections: 110}\n";
+    text += "  - {name: ";
+    text += name;
+    text += ", path_prefix: /";
+    text += name;
+    text += "/, key: {header: Key}, shards: ";
+    text += std::to_string(size.shards);
+    text += ", slots: 6, connections: 110}\n";
   }
   return text;
 }
@@ -166,7 +174,8 @@
     log_bytes += data.size();
     all.records.push_back({all.next++, data});
   }
-  std::cout << "records " << log.size() << ", " << log_bytes / 1e6 << " MB\n";
+  std::cout << "records " << log.size() << ", " << Megabytes(log_bytes)
+            << " MB\n";
 
   const double memory_before = ResidentMegabytes();
   auto controller = std::move(Controller::Create(OptionsOf(0))).value();
@@ -186,7 +195,8 @@
   for (const std::string& part : snapshot)
     snapshot_bytes += part.size();
   std::cout << "snapshot: " << MillisecondsSince(start) << " ms, "
-            << snapshot.size() << " parts, " << snapshot_bytes / 1e6 << " MB\n";
+            << snapshot.size() << " parts, " << Megabytes(snapshot_bytes)
+            << " MB\n";
 
   start = steady_clock::now();
   auto newcomer = std::move(Controller::Create(OptionsOf(1))).value();
