Hand the granting duty over in order, and send table changes directly

Cause: a new owner of the turn took a live holder's duty, after which nothing may change for 11 s; followers read every table from the store. The holder now resigns, and sends changed rows to the instances that report to it.

--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -183,6 +183,11 @@
   std::thread thread_;
 };
 
+std::atomic<bool>& WaitsForWarnings() {
+  static std::atomic<bool> waits = true;
+  return waits;
+}
+
 LineWriter& Writer() {
   static LineWriter writer;
   return writer;
@@ -190,7 +195,9 @@
 
 }  // namespace
 
-void EventLog::Initialize(std::uint32_t lines_per_second) {
+void EventLog::Initialize(std::uint32_t lines_per_second,
+                          FlushWarnings flush_warnings) {
+  WaitsForWarnings() = flush_warnings == FlushWarnings::kYes;
   Limiter().set_lines_per_second(lines_per_second);
   el::Configurations configurations;
   configurations.setToDefault();
@@ -213,7 +220,7 @@
   if (!Limiter().Admit(event.number, BootClock::now(), dropped))
     return;
   Writer().Add(Line{event, fields(), dropped});
-  if (event.level != LogLevel::kInfo)
+  if (event.level != LogLevel::kInfo && WaitsForWarnings())
     Flush();
 }
 
--- a/packages/base/event_log.h
+++ b/packages/base/event_log.h
@@ -18,17 +18,21 @@
 //   2026-01-31T12:00:00.000Z INFO event=3001 name=request_routed key=value ...
 // to standard output through easylogging++. Each event is limited to a rate per
 // second; the first line after a flood carries dropped=<count>. Lines are
-// formatted and written by a thread of their own; warnings and errors are
-// written before the call returns. All functions may be called from any
-// thread.
+// formatted and written by a thread of their own; with FlushWarnings::kYes,
+// warnings and errors are written before the call returns. All functions may be
+// called from any thread.
 class EventLog {
  public:
   // Lines of one event allowed per second before the rest are dropped.
   static constexpr std::uint32_t kDefaultLinesPerSecond = 2000;
 
+  // Whether the writer of a warning waits for it to be written.
+  enum class FlushWarnings { kNo, kYes };
+
   // Prepares the process-wide logger. Call once, before the first line.
   static void Initialize(
-      std::uint32_t lines_per_second = kDefaultLinesPerSecond);
+      std::uint32_t lines_per_second = kDefaultLinesPerSecond,
+      FlushWarnings flush_warnings = FlushWarnings::kYes);
 
   static void Write(const LogEvent& event, const std::vector<LogField>& fields);
 
--- a/packages/dispatch/retry_allowance.cc
+++ b/packages/dispatch/retry_allowance.cc
@@ -6,7 +6,8 @@
 
 namespace pollenrudder {
 
-RetryAllowance::RetryAllowance(const Options& options) : options_(options) {}
+RetryAllowance::RetryAllowance(const Options& options, BootTime start)
+    : options_(options), start_(start) {}
 
 void RetryAllowance::RecordRequest(BootTime now) {
   Advance(now);
@@ -16,8 +17,10 @@
 
 bool RetryAllowance::HasRoom(BootTime now) {
   Advance(now);
-  const double allowed =
-      kMargin * (options_.ratio * requests_ + options_.slack);
+  const std::chrono::duration<double> age = now - start_;
+  const std::chrono::duration<double> window = options_.window;
+  const double slack = options_.slack * std::min(1.0, age / window);
+  const double allowed = kMargin * (options_.ratio * requests_ + slack);
   return resends_ + 1 <= allowed;
 }
 
--- a/packages/dispatch/retry_allowance.h
+++ b/packages/dispatch/retry_allowance.h
@@ -27,7 +27,9 @@
     std::chrono::nanoseconds window = std::chrono::seconds(10);
   };
 
-  explicit RetryAllowance(const Options& options);
+  // The slack becomes available over the first window after `start`: an earlier
+  // life of this instance may have used its part.
+  RetryAllowance(const Options& options, BootTime start);
 
   void RecordRequest(BootTime now);
   // Returns whether one more send is allowed, and counts it.
@@ -50,6 +52,7 @@
   void Advance(BootTime now);
 
   Options options_;
+  const BootTime start_;
   std::array<Bucket, kBuckets> buckets_{};
   std::int64_t current_ = 0;
   // Invariant: the sums of buckets_.
--- a/packages/dispatch/retry_allowance_test.cc
+++ b/packages/dispatch/retry_allowance_test.cc
@@ -19,7 +19,7 @@
   options.ratio = 0.2;
   options.slack = 5;
   options.window = 10s;
-  RetryAllowance allowance(options);
+  RetryAllowance allowance(options, BootTime(0s));
   std::vector<std::chrono::milliseconds> resends;
   for (auto time = 0ms; time < 60s; time += 10ms) {
     allowance.RecordRequest(BootTime(time));
@@ -36,13 +36,22 @@
 }
 
 TEST_CASE("RetryAllowance allows the slack without any request") {
-  RetryAllowance allowance({.ratio = 0.2, .slack = 5, .window = 10s});
+  RetryAllowance allowance({.ratio = 0.2, .slack = 5, .window = 10s},
+                           BootTime(0s));
   int taken = 0;
-  while (allowance.TakeResend(BootTime(1s)))
+  while (allowance.TakeResend(BootTime(11s)))
     ++taken;
   CHECK(taken == 4);
-  CHECK_FALSE(allowance.HasRoom(BootTime(10s)));
-  CHECK(allowance.HasRoom(BootTime(12s)));
+  CHECK_FALSE(allowance.HasRoom(BootTime(20s)));
+  CHECK(allowance.HasRoom(BootTime(22s)));
+}
+
+// Guards against a slack that each restart of an instance gives anew.
+TEST_CASE("RetryAllowance gives the slack over the first window") {
+  RetryAllowance allowance({.ratio = 0.2, .slack = 10, .window = 10s},
+                           BootTime(100s));
+  CHECK_FALSE(allowance.HasRoom(BootTime(100s)));
+  CHECK(allowance.HasRoom(BootTime(102s)));
 }
 
 }  // namespace
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -116,8 +116,12 @@
   }
   auto reports =
       LoadChannel::Open(io_, settings_.report_address,
-                        [this](const LoadReport& report) {
-                          duty_.OnLoad(report);
+                        [this](const LoadReport& report,
+                               const std::string& sender) {
+                          duty_.OnLoad(report, sender);
+                        },
+                        [this](const TableUpdate& update) {
+                          duty_.OnUpdate(update);
                         });
   if (!reports)
     return reports.error();
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -93,7 +93,8 @@
   const EntrySettings settings_;
   const std::unique_ptr<Metrics> metrics_;
   Fleet fleet_;
-  std::uint32_t instances_ = 1;
+  // Until the store tells; too many keeps budgets and limits small.
+  std::uint32_t instances_ = 12;
   Forwarder forwarder_;
   KeyDutyDriver duty_;
   std::shared_ptr<const RoutePlan> plan_;
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -78,6 +78,7 @@
       metrics_(metrics),
       options_(std::move(options)),
       dispatcher_(options_.dispatch, *this),
+      started_(BootClock::now()),
       tick_timer_(io),
       random_(options_.dispatch.seed) {}
 
@@ -115,7 +116,7 @@
   const RetryAllowance::Options options{options_.retry_ratio,
                                         options_.retry_slack / instances_,
                                         options_.retry_window};
-  return allowances_.try_emplace(service, options).first->second;
+  return allowances_.try_emplace(service, options, started_).first->second;
 }
 
 LinkPool& Forwarder::PoolOf(const ListedUpstream& upstream) {
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -118,6 +118,7 @@
     std::unique_ptr<LinkPool> links;
   };
   std::map<std::string, Pool, std::less<>> pools_;
+  const BootTime started_;
   boost::asio::steady_timer tick_timer_;
   bool tick_pending_ = false;
   std::mt19937_64 random_;
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -18,10 +18,13 @@
 // not pass because one join was late, so several fit into it.
 constexpr milliseconds kJoinInterval{800};
 constexpr milliseconds kRetryPause{300};
-// How long a reading of the log waits for news. The holder's also proves its
-// term, so that it is short.
+// The holder's readings of the log wait for news and prove its term, so that
+// they are short. The others hear of changes from the holder, and read the log
+// now and then to find what they missed: store calls are billed.
 constexpr milliseconds kHolderWait{1000};
-constexpr milliseconds kFollowerWait{4000};
+constexpr milliseconds kFollowerPause{2000};
+// Instances whose reports have not come for this long get no updates.
+constexpr std::chrono::seconds kReporterLife{5};
 constexpr milliseconds kHolderPoll{40};
 constexpr milliseconds kFollowerPoll{250};
 // The base interval of load reports, for up to kReportersAtBase instances; it
@@ -102,8 +105,17 @@
     log_.Leave();
 }
 
-void KeyDutyDriver::OnLoad(const LoadReport& report) {
-  duty_.OnLoad(report, BootClock::now());
+void KeyDutyDriver::OnLoad(const LoadReport& report,
+                           const std::string& sender) {
+  const BootTime now = BootClock::now();
+  reporters_[sender] = now;
+  duty_.OnLoad(report, now);
+}
+
+void KeyDutyDriver::OnUpdate(const TableUpdate& update) {
+  if (!duty_.OnUpdate(update, BootClock::now()))
+    ReadNow();
+  OnChange();
 }
 
 void KeyDutyDriver::OnFleet(const Fleet& fleet, const RoutePlan& plan) {
@@ -128,7 +140,7 @@
     if (stopping_)
       return;
     if (turn) {
-      duty_.OnTurn(turn.value().mine, sent_at);
+      duty_.OnTurn(turn.value().mine, sent_at, BootClock::now());
       if (turn.value().instances != instances_) {
         instances_ = turn.value().instances;
         observer_.OnInstanceCount(instances_);
@@ -162,9 +174,8 @@
 
 void KeyDutyDriver::Follow() {
   const BootTime sent_at = BootClock::now();
-  const milliseconds wait = duty_.NeedsLog()     ? milliseconds(0)
-                            : duty_.IsHolder() ? kHolderWait
-                                               : kFollowerWait;
+  const milliseconds wait =
+      duty_.IsHolder() && !duty_.NeedsLog() ? kHolderWait : milliseconds(0);
   log_.Follow(duty_.next_offset(), wait,
               [this, sent_at](Result<DutyLog::Batch> batch) {
                 if (batch && batch.value().forgotten) {
@@ -176,10 +187,12 @@
                               sent_at, BootClock::now());
                   OnChange();
                   Poll();
-                  Follow();
-                  return;
+                  if (duty_.IsHolder()) {
+                    Follow();
+                    return;
+                  }
                 }
-                read_timer_.expires_after(kRetryPause);
+                read_timer_.expires_after(batch ? kFollowerPause : kRetryPause);
                 read_timer_.async_wait([this](boost::system::error_code error) {
                   if (!error)
                     Follow();
@@ -237,8 +250,11 @@
   const bool holder = duty_.IsHolder();
   if (holder != was_holder_) {
     was_holder_ = holder;
-    if (holder)
+    if (holder) {
       SchedulePoll();
+      read_timer_.cancel();
+      Follow();
+    }
     EventLog::Write(holder ? kDutyTaken : kDutyEnded,
                     {{"term", duty_.term_offset()},
                      {"instance", duty_.term() ? duty_.term()->instance
@@ -267,6 +283,12 @@
     });
     observer_.OnKeysChanged(duty_);
   }
+  for (const TableUpdate& update : duty_.TakeUpdates()) {
+    for (const auto& [address, time] : reporters_) {
+      if (now < time + kReporterLife)
+        channel_->Send(address, update);
+    }
+  }
 }
 
 void KeyDutyDriver::SendLoad() {
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -49,7 +49,9 @@
 
   // `channel` must outlive the driver.
   void Start(LoadChannel& channel);
-  void OnLoad(const LoadReport& report);
+  // `sender` is the "ip:port" of the instance that sent it.
+  void OnLoad(const LoadReport& report, const std::string& sender);
+  void OnUpdate(const TableUpdate& update);
   void OnFleet(const Fleet& fleet, const RoutePlan& plan);
   // Hands the duty to another instance.
   void Stop();
@@ -94,6 +96,8 @@
   boost::asio::steady_timer load_timer_;
   std::map<std::string, Channel, std::less<>> channels_;
   std::map<std::uint64_t, std::shared_ptr<HttpLink>> releases_;
+  // Where the reports come from, and when the last one came.
+  std::map<std::string, BootTime, std::less<>> reporters_;
   std::uint64_t seen_version_ = 0;
   std::uint32_t instances_ = 1;
   bool was_holder_ = false;
--- a/packages/entry/load_channel.cc
+++ b/packages/entry/load_channel.cc
@@ -13,10 +13,11 @@
 Result<std::unique_ptr<LoadChannel>> LoadChannel::Open(
     boost::asio::io_context& io,
     const std::string& address,
-    Handler handler) {
+    ReportHandler on_report,
+    UpdateHandler on_update) {
   const auto endpoint = EndpointOf(address);
   std::unique_ptr<LoadChannel> channel(
-      new LoadChannel(io, std::move(handler)));
+      new LoadChannel(io, std::move(on_report), std::move(on_update)));
   boost::system::error_code error;
   channel->socket_.open(boost::asio::ip::udp::v4(), error);
   if (!error)
@@ -31,12 +32,24 @@
   return channel;
 }
 
-LoadChannel::LoadChannel(boost::asio::io_context& io, Handler handler)
-    : socket_(io), handler_(std::move(handler)) {}
+LoadChannel::LoadChannel(boost::asio::io_context& io,
+                         ReportHandler on_report,
+                         UpdateHandler on_update)
+    : socket_(io),
+      on_report_(std::move(on_report)),
+      on_update_(std::move(on_update)) {}
 
 void LoadChannel::Send(const std::string& address, const LoadReport& report) {
+  SendText(address, EncodeLoadReport(report));
+}
+
+void LoadChannel::Send(const std::string& address, const TableUpdate& update) {
+  SendText(address, EncodeTableUpdate(update));
+}
+
+void LoadChannel::SendText(const std::string& address,
+                           const std::string& text) {
   const auto endpoint = EndpointOf(address);
-  const std::string text = EncodeLoadReport(report);
   if (endpoint.port() == 0 || text.size() > kMaxDatagram)
     return;
   boost::system::error_code ignored;
@@ -60,9 +73,13 @@
               boost::asio::buffer(buffer_), sender_, 0, read_error);
           if (read_error)
             break;
-          if (const auto report =
-                  ParseLoadReport(std::string_view(buffer_.data(), bytes)))
-            handler_(*report);
+          const std::string_view text(buffer_.data(), bytes);
+          if (const auto report = ParseLoadReport(text)) {
+            on_report_(*report, sender_.address().to_string() + ':' +
+                                    std::to_string(sender_.port()));
+          } else if (const auto update = ParseTableUpdate(text)) {
+            on_update_(*update);
+          }
         }
         Receive();
       });
--- a/packages/grants/duty_record.cc
+++ b/packages/grants/duty_record.cc
@@ -26,7 +26,28 @@
                    "record \"" + key + "\" cannot be read");
 }
 
-json::array EncodeRow(const KeyAssignment& row) {
+KeyNumber ToKey(const json::value& value) {
+  const auto number = value.to_number<std::int64_t>();
+  if (number < 0 || number >= static_cast<std::int64_t>(kKeyCount))
+    throw std::out_of_range("key");
+  return static_cast<KeyNumber>(number);
+}
+
+KeyTable ParseTable(const json::value& value) {
+  KeyTable table;
+  std::vector<KeyAssignment> rows;
+  for (const json::value& fields : value.as_array()) {
+    rows.push_back(ParseKeyRow(fields.as_array()));
+    if (rows.size() > 1 &&
+        rows[rows.size() - 2].keys.last >= rows.back().keys.first)
+      throw std::out_of_range("order");
+  }
+  return KeyTable(std::move(rows));
+}
+
+}  // namespace
+
+json::array EncodeKeyRow(const KeyAssignment& row) {
   json::array fields{row.keys.first,         row.keys.last,
                      row.owner.name,         row.owner.born.count(),
                      row.token,              row.moving ? 1 : 0};
@@ -38,14 +59,7 @@
   return fields;
 }
 
-KeyNumber ToKey(const json::value& value) {
-  const auto number = value.to_number<std::int64_t>();
-  if (number < 0 || number >= static_cast<std::int64_t>(kKeyCount))
-    throw std::out_of_range("key");
-  return static_cast<KeyNumber>(number);
-}
-
-KeyAssignment ParseRow(const json::array& fields) {
+KeyAssignment ParseKeyRow(const json::array& fields) {
   if (fields.size() != kRowFields && fields.size() != kMovingRowFields)
     throw std::out_of_range("row");
   KeyAssignment row;
@@ -68,20 +82,6 @@
   return row;
 }
 
-KeyTable ParseTable(const json::value& value) {
-  KeyTable table;
-  std::vector<KeyAssignment> rows;
-  for (const json::value& fields : value.as_array()) {
-    rows.push_back(ParseRow(fields.as_array()));
-    if (rows.size() > 1 &&
-        rows[rows.size() - 2].keys.last >= rows.back().keys.first)
-      throw std::out_of_range("order");
-  }
-  return KeyTable(std::move(rows));
-}
-
-}  // namespace
-
 DutyRecord EncodeDutyRecord(const TermRecord& term) {
   const json::object value{{"instance", term.instance},
                            {"life", term.life},
@@ -93,7 +93,7 @@
 DutyRecord EncodeDutyRecord(const TableRecord& record) {
   json::array rows;
   for (const KeyAssignment& row : record.table.rows())
-    rows.push_back(EncodeRow(row));
+    rows.push_back(EncodeKeyRow(row));
   return {std::string(kTablePrefix) + record.service, json::serialize(rows)};
 }
 
--- a/packages/grants/duty_record.h
+++ b/packages/grants/duty_record.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <variant>
 
+#include <boost/json/array.hpp>
+
 #include "base/result.h"
 #include "grants/key_table.h"
 
@@ -45,6 +47,10 @@
 
 DutyRecord EncodeDutyRecord(const TermRecord& term);
 DutyRecord EncodeDutyRecord(const TableRecord& table);
+// One row as it stands in a record.
+boost::json::array EncodeKeyRow(const KeyAssignment& row);
+// Throws, as Boost.JSON does, for a malformed row.
+KeyAssignment ParseKeyRow(const boost::json::array& fields);
 // Fails with kUnsupportedRecord for a record of another writer.
 Result<ParsedDutyRecord> ParseDutyRecord(const DutyRecord& record);
 
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -22,6 +22,9 @@
 constexpr milliseconds kRetryPause{250};
 // Between appends after one that failed.
 constexpr milliseconds kAppendPause{100};
+// How long a new owner of the turn waits for the holder to resign: a live one
+// hears of it with its next join.
+constexpr milliseconds kResignPatience{1300};
 // Failed calls in a row after which an upstream gets no keys for a while.
 constexpr std::uint32_t kMaxFailures = 2;
 constexpr milliseconds kAvoidPause{4000};
@@ -70,7 +73,7 @@
   if (const auto* term = std::get_if<TermRecord>(&parsed.value()))
     ApplyTerm(offset, *term, now);
   else
-    ApplyTable(std::get<TableRecord>(parsed.value()), now);
+    ApplyTable(offset, std::get<TableRecord>(parsed.value()));
 }
 
 void GrantDuty::ApplyTerm(std::uint64_t offset,
@@ -90,16 +93,49 @@
     ForgetHolderState();
 }
 
-void GrantDuty::ApplyTable(const TableRecord& record, BootTime /*now*/) {
+void GrantDuty::ApplyTable(std::uint64_t offset, const TableRecord& record) {
   KeyTable& table = tables_[record.service];
   if (table == record.table)
     return;
+  if (holder_) {
+    TableUpdate update{record.service, offset, {}};
+    for (const KeyAssignment& row : record.table.rows()) {
+      const KeyAssignment* old = table.Find(row.keys.first);
+      // A row that was only cut needs no update.
+      const bool same = old != nullptr && old->owner == row.owner &&
+                        old->token == row.token &&
+                        old->moving == row.moving &&
+                        old->keys.last >= row.keys.last;
+      if (!same)
+        update.rows.push_back(row);
+    }
+    updates_.push_back(std::move(update));
+  }
   table = record.table;
   ++tables_version_;
   if (holder_)
     CarryRows(services_[record.service], table);
 }
 
+bool GrantDuty::OnUpdate(const TableUpdate& update, BootTime /*now*/) {
+  if (holder_ || update.offset < next_offset_)
+    return true;
+  if (!log_known_ || update.offset > next_offset_) {
+    needs_log_ = true;
+    return false;
+  }
+  KeyTable& table = tables_[update.service];
+  for (const KeyAssignment& row : update.rows)
+    table.Assign(row);
+  next_offset_ = update.offset + 1;
+  ++tables_version_;
+  return true;
+}
+
+std::vector<TableUpdate> GrantDuty::TakeUpdates() {
+  return std::exchange(updates_, {});
+}
+
 void GrantDuty::CarryRows(ServiceState& state, const KeyTable& table) const {
   std::vector<RowState> rows;
   rows.reserve(table.rows().size());
@@ -163,9 +199,11 @@
 
 void GrantDuty::ForgetHolderState() {
   holder_ = false;
+  handing_over_ = false;
   confirmed_at_ = {};
   changes_from_ = {};
   calls_.clear();
+  updates_.clear();
   for (auto& [service, state] : services_) {
     state.rows.clear();
     state.load = {};
@@ -191,8 +229,12 @@
   needs_log_ = result != DutyAppendResult::kRejected;
 }
 
-void GrantDuty::OnTurn(bool mine, BootTime sent_at) {
+void GrantDuty::OnTurn(bool mine, BootTime sent_at, BootTime now) {
+  const bool was_mine = turn_is_mine_;
   turn_is_mine_ = mine && sent_at > term_seen_;
+  if (turn_is_mine_ && !was_mine)
+    turn_since_ = now;
+  handing_over_ = holder_ && !mine && sent_at > term_seen_;
 }
 
 void GrantDuty::OnFleet(const Fleet& fleet,
@@ -282,21 +324,31 @@
   return holder_ && now < confirmed_at_ + options_.times.term_lapse;
 }
 
-bool GrantDuty::ShouldClaim() const {
+bool GrantDuty::ShouldClaim(BootTime now) const {
   if (!log_known_ || needs_log_ || holder_ || stopping_)
     return false;
-  if (turn_is_mine_)
-    return true;
   // The duty was with an earlier life of this instance, so that nobody else
   // can take it over as early.
-  return term_ && !term_->resigned && term_->instance == options_.instance;
+  if (term_ && !term_->resigned && term_->instance == options_.instance)
+    return true;
+  if (!turn_is_mine_)
+    return false;
+  // A live holder resigns when it hears that the turn has passed on, and then
+  // nothing has to be waited for.
+  return !term_ || term_->resigned || now >= turn_since_ + kResignPatience;
+}
+
+bool GrantDuty::HasOpenGrant() const {
+  return std::ranges::any_of(calls_, [](const auto& entry) {
+    return entry.second.call.kind == KeyCall::Kind::kGrant;
+  });
 }
 
 DutyActions GrantDuty::Poll(BootTime now) {
   DutyActions actions;
   const bool may_append = !append_ && now >= next_append_ && !needs_log_;
   if (!holder_) {
-    if (may_append && ShouldClaim()) {
+    if (may_append && ShouldClaim(now)) {
       const TermRecord term{options_.instance, options_.life,
                             options_.report_address, false};
       append_ = DutyAppend{{EncodeDutyRecord(term)}, next_offset_};
@@ -306,8 +358,8 @@
   }
   if (!IsActive(now))
     return actions;
-  if (stopping_) {
-    if (calls_.empty() && may_append) {
+  if (stopping_ || handing_over_) {
+    if (!HasOpenGrant() && may_append) {
       const TermRecord term{options_.instance, options_.life,
                             options_.report_address, true};
       append_ = DutyAppend{{EncodeDutyRecord(term)}, next_offset_};
--- a/packages/grants/grant_duty.h
+++ b/packages/grants/grant_duty.h
@@ -18,6 +18,7 @@
 #include "grants/key_load.h"
 #include "grants/key_planner.h"
 #include "grants/key_table.h"
+#include "grants/table_update.h"
 
 namespace pollenrudder {
 
@@ -66,7 +67,13 @@
   void OnAppendEnded(DutyAppendResult result, BootTime sent_at, BootTime now);
   // Whether this instance is the one that should hold the duty. Asked at
   // `sent_at`: an answer that is older than the newest term says nothing.
-  void OnTurn(bool mine, BootTime sent_at);
+  void OnTurn(bool mine, BootTime sent_at, BootTime now);
+  // A change of a table that the holder sent directly. Returns whether it could
+  // be applied; otherwise the log has to be read.
+  bool OnUpdate(const TableUpdate& update, BootTime now);
+  // The changes of tables since the last call; the holder sends them to the
+  // other instances, so that these need not wait for the log.
+  std::vector<TableUpdate> TakeUpdates();
   void OnFleet(const Fleet& fleet, const RoutePlan& plan, BootTime now);
   void OnLoad(const LoadReport& report, BootTime now);
   // `handover` is what a release returned.
@@ -131,13 +138,14 @@
 
   void ApplyRecord(std::uint64_t offset, const DutyRecord& record, BootTime now);
   void ApplyTerm(std::uint64_t offset, const TermRecord& term, BootTime now);
-  void ApplyTable(const TableRecord& record, BootTime now);
+  void ApplyTable(std::uint64_t offset, const TableRecord& record);
   // Builds the row states of a table that replaces another one.
   void CarryRows(ServiceState& state, const KeyTable& table) const;
   void BecomeHolder(const std::optional<TermRecord>& former, BootTime now);
   void ForgetHolderState();
 
-  bool ShouldClaim() const;
+  bool ShouldClaim(BootTime now) const;
+  bool HasOpenGrant() const;
   void PollRows(const std::string& service, ServiceState& state, BootTime now,
                 DutyActions& actions);
   void PollMovingRow(const std::string& service, RowState& row, BootTime now,
@@ -166,12 +174,17 @@
   std::uint64_t next_offset_ = 0;
   std::uint64_t tables_version_ = 0;
   std::map<std::string, KeyTable, std::less<>> tables_;
+  // Filled while this instance is the holder.
+  std::vector<TableUpdate> updates_;
   std::optional<TermRecord> term_;
   std::uint64_t term_offset_ = 0;
 
   bool turn_is_mine_ = false;
+  BootTime turn_since_{};
   // When the newest term was learned.
   BootTime term_seen_{};
+  // The turn went to another instance: resign as soon as no grant is open.
+  bool handing_over_ = false;
   bool stopping_ = false;
   bool holder_ = false;
   BootTime confirmed_at_{};
--- /dev/null
+++ b/packages/grants/table_update.cc
@@ -0,0 +1,38 @@
+// Table updates as JSON datagrams.
+
+#include "grants/table_update.h"
+
+#include <boost/json.hpp>
+
+#include "base/json_text.h"
+#include "grants/duty_record.h"
+
+namespace pollenrudder {
+
+namespace json = boost::json;
+
+std::string EncodeTableUpdate(const TableUpdate& update) {
+  json::array rows;
+  for (const KeyAssignment& row : update.rows)
+    rows.push_back(EncodeKeyRow(row));
+  return json::serialize(json::object{{"u", update.service},
+                                      {"o", update.offset},
+                                      {"r", std::move(rows)}});
+}
+
+std::optional<TableUpdate> ParseTableUpdate(std::string_view text) {
+  try {
+    const json::value value = json::parse({text.data(), text.size()});
+    TableUpdate update;
+    update.service = JsonText(value.at("u"));
+    update.offset = value.at("o").to_number<std::uint64_t>();
+    for (const json::value& row : value.at("r").as_array())
+      update.rows.push_back(ParseKeyRow(row.as_array()));
+    return update;
+  } catch (const std::exception&) {
+    // Boost.JSON reports a malformed datagram by an exception.
+    return std::nullopt;
+  }
+}
+
+}  // namespace pollenrudder
