Relay list and configuration from the holder to the other instances

Cause: 5 store calls a second an instance. A configuration was in force 4 s late when it was appended between two waiting readings: a short reading follows each empty one. A grant that waits behind others counts as pending until it ends.

--- a/packages/entry/caller_link.cc
+++ b/packages/entry/caller_link.cc
@@ -19,8 +19,9 @@
 constexpr std::chrono::milliseconds kTimeSlack{250};
 // A new connection is not closed before its first request can have arrived.
 constexpr std::chrono::milliseconds kFirstRequestTime{300};
-// How long a caller has to read the last answer of a connection.
-constexpr std::chrono::milliseconds kLingerTime{1000};
+// How long a caller has to read the last answer of a connection. A request that
+// it sends meanwhile must learn soon that it is not read.
+constexpr std::chrono::milliseconds kLingerTime{150};
 
 }  // namespace
 
--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -53,6 +53,11 @@
 inline constexpr LogEvent kSettingsReloaded{9020, "settings_reloaded",
                                             LogLevel::kInfo};
 
+// The holder of the granting duty relays list and configuration to this
+// instance, or has fallen silent, so that this instance reads by itself.
+inline constexpr LogEvent kNewsRelayed{9021, "news_relayed", LogLevel::kInfo};
+inline constexpr LogEvent kNewsSilent{9022, "news_silent", LogLevel::kInfo};
+
 }  // namespace pollenrudder
 
 #endif  // POLLENRUDDER_ENTRY_ENTRY_EVENTS_H_
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds kAcceptWhileLeaving{2600};
 // The process ends this long before it would be ended by force.
 constexpr milliseconds kLeaveMargin{250};
+// What has not been sent to an upstream by then is refused.
+constexpr milliseconds kRefuseMargin{1000};
 
 std::uint64_t RandomSeed() {
   std::random_device device;
@@ -77,6 +79,7 @@
       forwarder_(io, protocol, *metrics_, ForwarderOptions(settings)),
       duty_(io, DutyOptions(settings), log, protocol, *metrics_, *this),
       acceptor_(io),
+      relay_(io, settings.list_interval, *this),
       housekeeping_timer_(io),
       removal_timer_(io),
       leave_timer_(io) {}
@@ -114,19 +117,11 @@
       return metrics.error();
     metrics_server_ = std::move(metrics.value());
   }
-  auto reports =
-      LoadChannel::Open(io_, settings_.report_address,
-                        [this](const LoadReport& report,
-                               const std::string& sender) {
-                          duty_.OnLoad(report, sender);
-                        },
-                        [this](const TableUpdate& update) {
-                          duty_.OnUpdate(update);
-                        });
-  if (!reports)
-    return reports.error();
-  reports_ = std::move(reports.value());
-  duty_.Start(*reports_);
+  auto channel = InstanceChannel::Open(io_, settings_.report_address, *this);
+  if (!channel)
+    return channel.error();
+  channel_ = std::move(channel.value());
+  duty_.Start(*channel_);
   Accept();
   ScheduleHousekeeping();
   return boost::outcome_v2::success();
@@ -166,15 +161,20 @@
   forwarder_.SetPlan(plan_, fleet_, instances_);
   duty_.OnFleet(fleet_, *plan_);
   OnKeysChanged(duty_.duty());
+  SendNews();
 }
 
-void EntryInstance::OnFleetChanges(const std::vector<FleetChange>& changes) {
+std::vector<FleetChange> EntryInstance::ApplyChanges(
+    const std::vector<FleetChange>& changes) {
   const BootTime now = BootClock::now();
-  bool news = false;
+  std::vector<FleetChange> news;
   for (const FleetChange& change : changes) {
-    if (!fleet_.Apply(change, now))
+    const bool known = fleet_.Find(change.name) != nullptr;
+    const bool changed = fleet_.Apply(change, now);
+    // A removal that is held back here matters to others all the same.
+    if (!changed && (change.entry || !known))
       continue;
-    news = true;
+    news.push_back(change);
     if (!change.entry) {
       EventLog::Write(kUpstreamUnlisted, {{"upstream", change.name}});
       continue;
@@ -185,15 +185,58 @@
                      {"address", change.entry->address},
                      {"leaving", change.entry->leaving ? 1 : 0}});
   }
-  if (news)
+  if (!news.empty())
     OnFleetNews();
   ScheduleRemovals();
+  return news;
 }
 
-void EntryInstance::OnFleetListing(const std::vector<ListedUpstream>& entries) {
+void EntryInstance::OnFleetChanges(std::uint64_t from,
+                                   std::uint64_t to,
+                                   const std::vector<FleetChange>& changes) {
+  relay_.OnOwnReading(from, to, ApplyChanges(changes));
+  SendNews();
+}
+
+void EntryInstance::OnFleetListing(std::uint64_t position,
+                                   const std::vector<ListedUpstream>& entries) {
   if (fleet_.Replace(entries, BootClock::now()))
     OnFleetNews();
   ScheduleRemovals();
+  // What changed before this position is not known as single changes.
+  relay_.OnOwnReading(position, position, {});
+  SendNews();
+}
+
+void EntryInstance::SendNews() {
+  duty_.SendToReporters(relay_.MakeNews(plan_ ? plan_->version : 0,
+                                        duty_.duty().next_offset()));
+}
+
+void EntryInstance::OnReport(const LoadReport& report,
+                             const std::string& sender) {
+  duty_.OnLoad(report, sender);
+}
+
+void EntryInstance::OnUpdate(const TableUpdate& update) {
+  duty_.OnUpdate(update);
+}
+
+void EntryInstance::OnNews(const RelayedNews& news) {
+  // The holder reads by itself.
+  if (duty_.duty().IsHolder())
+    return;
+  relay_.OnNews(news, plan_ ? plan_->version : 0);
+  duty_.OnLogGrown(news.duty_offset);
+}
+
+void EntryInstance::OnRelayedChanges(const std::vector<FleetChange>& changes) {
+  ApplyChanges(changes);
+}
+
+void EntryInstance::OnRelayed(bool relayed) {
+  EventLog::Write(relayed ? kNewsRelayed : kNewsSilent, {});
+  duty_.SetRelayed(relayed);
 }
 
 void EntryInstance::OnListLost() {
@@ -255,6 +298,8 @@
     boost::system::error_code ignored;
     acceptor_.close(ignored);
   }
+  if (passed >= settings_.grace_period - kRefuseMargin)
+    forwarder_.RefuseWaiting();
   // Links close themselves once idle; the set changes meanwhile.
   const std::vector<std::shared_ptr<CallerLink>> links(links_.begin(),
                                                        links_.end());
@@ -318,6 +363,8 @@
 }
 
 void EntryInstance::OnKeysChanged(const GrantDuty& duty) {
+  if (duty.IsHolder())
+    relay_.StopReceiving();
   for (const auto& [service, table] : duty.tables())
     forwarder_.SetKeys(service, &table);
 }
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -19,11 +19,13 @@
 #include "entry/caller_link_owner.h"
 #include "entry/entry_settings.h"
 #include "entry/forwarder.h"
+#include "entry/instance_channel.h"
 #include "entry/key_duty_driver.h"
-#include "entry/load_channel.h"
+#include "entry/news_relay.h"
 #include "entry/probe_server.h"
 #include "entry/upstream_protocol.h"
 #include "fleet/fleet.h"
+#include "fleet/feed_control.h"
 #include "fleet/fleet_observer.h"
 #include "grants/duty_log.h"
 
@@ -40,7 +42,9 @@
 // it has been asked, and ends the event loop when nothing is left.
 class EntryInstance : public FleetObserver,
                       private CallerLinkOwner,
-                      private KeyDutyDriver::Observer {
+                      private KeyDutyDriver::Observer,
+                      private InstanceChannel::Listener,
+                      private NewsRelay::Observer {
  public:
   // The arguments must outlive the instance.
   static Result<std::unique_ptr<EntryInstance>> Start(
@@ -50,14 +54,18 @@
       DutyLog& log);
   ~EntryInstance() override;
 
+  // The platform's readers; `feeds` must outlive the instance's event loop.
+  void SetFeeds(FeedControl& feeds) { relay_.SetFeeds(feeds); }
   void Leave();
   // Whether callers are to be sent here.
   bool IsReady() const { return forwarder_.plan() != nullptr && !leaving_; }
 
   // FleetObserver:
   void OnPlan(std::shared_ptr<const RoutePlan> plan) override;
-  void OnFleetChanges(const std::vector<FleetChange>& changes) override;
-  void OnFleetListing(const std::vector<ListedUpstream>& entries) override;
+  void OnFleetChanges(std::uint64_t from, std::uint64_t to,
+                      const std::vector<FleetChange>& changes) override;
+  void OnFleetListing(std::uint64_t position,
+                      const std::vector<ListedUpstream>& entries) override;
   void OnListLost() override;
   void OnListReturned() override;
 
@@ -69,7 +77,11 @@
 
   Result<void> Listen();
   void Accept();
+  // Applies the changes and returns those that matter for routing.
+  std::vector<FleetChange> ApplyChanges(
+      const std::vector<FleetChange>& changes);
   void OnFleetNews();
+  void SendNews();
   void ScheduleHousekeeping();
   void ScheduleRemovals();
   void CheckLeft();
@@ -89,6 +101,15 @@
   void OnInstanceCount(std::uint32_t instances) override;
   std::map<std::string, ServiceLoad, std::less<>> TakeLoad() override;
 
+  // InstanceChannel::Listener:
+  void OnReport(const LoadReport& report, const std::string& sender) override;
+  void OnUpdate(const TableUpdate& update) override;
+  void OnNews(const RelayedNews& news) override;
+
+  // NewsRelay::Observer:
+  void OnRelayedChanges(const std::vector<FleetChange>& changes) override;
+  void OnRelayed(bool relayed) override;
+
   boost::asio::io_context& io_;
   const EntrySettings settings_;
   const std::unique_ptr<Metrics> metrics_;
@@ -101,7 +122,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::unique_ptr<ProbeServer> probe_;
   std::unique_ptr<ProbeServer> metrics_server_;
-  std::unique_ptr<LoadChannel> reports_;
+  std::unique_ptr<InstanceChannel> channel_;
+  NewsRelay relay_;
   std::unordered_set<std::shared_ptr<CallerLink>> links_;
   boost::asio::steady_timer housekeeping_timer_;
   boost::asio::steady_timer removal_timer_;
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -30,8 +30,9 @@
   std::chrono::nanoseconds retry_window = std::chrono::seconds(10);
   // The longest grant that upstreams accept.
   std::chrono::nanoseconds max_hold = std::chrono::seconds(10);
-  // How soon a leaving upstream must get no more work.
-  std::chrono::nanoseconds drain_timeout = std::chrono::seconds(2);
+  // How often the list of upstreams is read. The platform's part chooses it
+  // from the time in which a leaving upstream must get no more work.
+  std::chrono::nanoseconds list_interval = std::chrono::milliseconds(900);
 };
 
 }  // namespace pollenrudder
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -532,6 +532,21 @@
   return response;
 }
 
+void Forwarder::RefuseWaiting() {
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [id, request] : requests_) {
+    if (!request.link && !request.may_have_run)
+      waiting.push_back(id);
+  }
+  for (const std::uint64_t id : waiting) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end())
+      continue;
+    dispatcher_.Cancel(at->second.dispatch.service, id);
+    Fail(at, ErrorKind::kNotRunShuttingDown, kNoPlanRetryAfter);
+  }
+}
+
 void Forwarder::CloseIdleLinks() {
   const BootTime now = BootClock::now();
   for (auto& [name, pool] : pools_)
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -69,6 +69,8 @@
   std::map<std::string, ServiceLoad, std::less<>> TakeLoad() {
     return dispatcher_.TakeLoad();
   }
+  // Refuses the requests that have not been sent, since this instance ends.
+  void RefuseWaiting();
   // Closes connections to upstreams that have been idle for long.
   void CloseIdleLinks();
   std::size_t active_count() const { return requests_.size(); }
--- /dev/null
+++ b/packages/entry/instance_channel.cc
@@ -0,0 +1,113 @@
+// InstanceChannel over a UDP socket.
+
+#include "entry/instance_channel.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+
+#include "base/socket_address.h"
+
+namespace pollenrudder {
+namespace {
+
+// The first byte of a datagram.
+constexpr char kReportTag = 'L';
+constexpr char kUpdateTag = 'U';
+constexpr char kNewsTag = 'N';
+
+}  // namespace
+
+Result<std::unique_ptr<InstanceChannel>> InstanceChannel::Open(
+    boost::asio::io_context& io,
+    const std::string& address,
+    Listener& listener) {
+  const auto endpoint = EndpointOf(address);
+  std::unique_ptr<InstanceChannel> channel(new InstanceChannel(io, listener));
+  boost::system::error_code error;
+  channel->socket_.open(boost::asio::ip::udp::v4(), error);
+  if (!error)
+    channel->socket_.bind({endpoint.address(), endpoint.port()}, error);
+  if (!error)
+    channel->socket_.non_blocking(true, error);
+  if (error) {
+    return MakeError(ErrorKind::kInvalidSettings,
+                     "cannot bind UDP " + address + ": " + error.message());
+  }
+  channel->Receive();
+  return channel;
+}
+
+InstanceChannel::InstanceChannel(boost::asio::io_context& io,
+                                 Listener& listener)
+    : socket_(io), listener_(listener) {}
+
+void InstanceChannel::Send(const std::string& address,
+                           const LoadReport& report) {
+  SendText(address, kReportTag, EncodeLoadReport(report));
+}
+
+void InstanceChannel::Send(const std::string& address,
+                           const TableUpdate& update) {
+  SendText(address, kUpdateTag, EncodeTableUpdate(update));
+}
+
+void InstanceChannel::Send(const std::string& address,
+                           const RelayedNews& news) {
+  SendText(address, kNewsTag, EncodeRelayedNews(news));
+}
+
+void InstanceChannel::SendText(const std::string& address,
+                               char tag,
+                               const std::string& text) {
+  const auto endpoint = EndpointOf(address);
+  const std::string datagram = tag + text;
+  if (endpoint.port() == 0 || datagram.size() > kMaxDatagram)
+    return;
+  boost::system::error_code ignored;
+  socket_.send_to(boost::asio::buffer(datagram),
+                  {endpoint.address(), endpoint.port()}, 0, ignored);
+}
+
+void InstanceChannel::Receive() {
+  socket_.async_wait(
+      boost::asio::ip::udp::socket::wait_read,
+      [this](boost::system::error_code error) {
+        if (error)
+          return;
+        while (true) {
+          boost::system::error_code read_error;
+          const std::size_t size = socket_.available(read_error);
+          if (read_error || size == 0)
+            break;
+          buffer_.resize(size);
+          const std::size_t bytes = socket_.receive_from(
+              boost::asio::buffer(buffer_), sender_, 0, read_error);
+          if (read_error)
+            break;
+          Dispatch(std::string_view(buffer_.data(), bytes));
+        }
+        Receive();
+      });
+}
+
+void InstanceChannel::Dispatch(std::string_view text) {
+  if (text.empty())
+    return;
+  const char tag = text.front();
+  text.remove_prefix(1);
+  if (tag == kReportTag) {
+    if (const auto report = ParseLoadReport(text)) {
+      listener_.OnReport(*report, sender_.address().to_string() + ':' +
+                                      std::to_string(sender_.port()));
+    }
+  } else if (tag == kUpdateTag) {
+    if (const auto update = ParseTableUpdate(text))
+      listener_.OnUpdate(*update);
+  } else if (tag == kNewsTag) {
+    if (const auto news = ParseRelayedNews(text))
+      listener_.OnNews(*news);
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/entry/instance_channel.h
@@ -0,0 +1,63 @@
+// Datagrams between the instances.
+
+#ifndef POLLENRUDDER_ENTRY_INSTANCE_CHANNEL_H_
+#define POLLENRUDDER_ENTRY_INSTANCE_CHANNEL_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "base/result.h"
+#include "entry/relayed_news.h"
+#include "grants/load_report.h"
+#include "grants/table_update.h"
+
+namespace pollenrudder {
+
+// Sends and receives datagrams. Nothing is sent again: a lost report costs a
+// fraction of a second of one instance's load, and lost news are noticed with
+// the next ones.
+class InstanceChannel {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    // `sender` is the "ip:port" of the instance that sent it.
+    virtual void OnReport(const LoadReport& report,
+                          const std::string& sender) = 0;
+    virtual void OnUpdate(const TableUpdate& update) = 0;
+    virtual void OnNews(const RelayedNews& news) = 0;
+  };
+
+  // `address` is "ip:port". Fails with kInvalidSettings if it is taken.
+  // `listener` must outlive the channel.
+  static Result<std::unique_ptr<InstanceChannel>> Open(
+      boost::asio::io_context& io,
+      const std::string& address,
+      Listener& listener);
+
+  void Send(const std::string& address, const LoadReport& report);
+  void Send(const std::string& address, const TableUpdate& update);
+  void Send(const std::string& address, const RelayedNews& news);
+
+ private:
+  static constexpr std::size_t kMaxDatagram = 60000;
+
+  InstanceChannel(boost::asio::io_context& io, Listener& listener);
+  // `tag` tells what `text` is.
+  void SendText(const std::string& address, char tag, const std::string& text);
+  void Receive();
+  void Dispatch(std::string_view text);
+
+  boost::asio::ip::udp::socket socket_;
+  Listener& listener_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::string buffer_;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ENTRY_INSTANCE_CHANNEL_H_
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -22,7 +22,11 @@
 // they are short. The others hear of changes from the holder, and read the log
 // now and then to find what they missed: store calls are billed.
 constexpr milliseconds kHolderWait{1000};
-constexpr milliseconds kFollowerPause{2000};
+constexpr milliseconds kFollowerPause{500};
+constexpr std::chrono::seconds kRelayedPause{10};
+// A report without load is sent this rarely, to stay among the receivers of
+// news.
+constexpr int kEmptyReportsLeftOut = 2;
 // Instances whose reports have not come for this long get no updates.
 constexpr std::chrono::seconds kReporterLife{5};
 constexpr milliseconds kHolderPoll{40};
@@ -86,7 +90,7 @@
     link->Abort();
 }
 
-void KeyDutyDriver::Start(LoadChannel& channel) {
+void KeyDutyDriver::Start(InstanceChannel& channel) {
   channel_ = &channel;
   Join();
   ReadNewest();
@@ -118,6 +122,29 @@
   OnChange();
 }
 
+void KeyDutyDriver::SetRelayed(bool relayed) {
+  if (relayed == relayed_)
+    return;
+  relayed_ = relayed;
+  if (!relayed)
+    ReadNow();
+}
+
+void KeyDutyDriver::OnLogGrown(std::uint64_t offset) {
+  if (!duty_.IsHolder() && offset > duty_.next_offset())
+    ReadNow();
+}
+
+void KeyDutyDriver::SendToReporters(const RelayedNews& news) {
+  if (!duty_.IsHolder())
+    return;
+  const BootTime now = BootClock::now();
+  for (const auto& [address, time] : reporters_) {
+    if (now < time + kReporterLife)
+      channel_->Send(address, news);
+  }
+}
+
 void KeyDutyDriver::OnFleet(const Fleet& fleet, const RoutePlan& plan) {
   duty_.OnFleet(fleet, plan, BootClock::now());
   std::erase_if(channels_, [&](const auto& entry) {
@@ -192,7 +219,10 @@
                     return;
                   }
                 }
-                read_timer_.expires_after(batch ? kFollowerPause : kRetryPause);
+                std::chrono::milliseconds pause = kRetryPause;
+                if (batch)
+                  pause = relayed_ ? kRelayedPause : kFollowerPause;
+                read_timer_.expires_after(pause);
                 read_timer_.async_wait([this](boost::system::error_code error) {
                   if (!error)
                     Follow();
@@ -214,6 +244,15 @@
     OnChange();
     Poll();
   });
+  // Without news from the holder, the readings go on at their own pace.
+  if (!relayed_ && !duty_.IsHolder() &&
+      read_timer_.expiry() > std::chrono::steady_clock::now() + kFollowerPause) {
+    read_timer_.expires_after(kFollowerPause);
+    read_timer_.async_wait([this](boost::system::error_code error) {
+      if (!error)
+        Follow();
+    });
+  }
 }
 
 void KeyDutyDriver::SchedulePoll() {
@@ -299,8 +338,9 @@
       return;
     SendLoad();
     LoadReport report{instance_, observer_.TakeLoad()};
-    if (report.services.empty())
+    if (report.services.empty() && ++empty_reports_ <= kEmptyReportsLeftOut)
       return;
+    empty_reports_ = 0;
     if (duty_.IsHolder())
       duty_.OnLoad(report, BootClock::now());
     else if (duty_.term() && !duty_.term()->resigned)
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -16,7 +16,7 @@
 
 #include "base/metrics.h"
 #include "entry/http_link.h"
-#include "entry/load_channel.h"
+#include "entry/instance_channel.h"
 #include "entry/upstream_protocol.h"
 #include "fleet/fleet.h"
 #include "fleet/route_plan.h"
@@ -48,11 +48,17 @@
   ~KeyDutyDriver();
 
   // `channel` must outlive the driver.
-  void Start(LoadChannel& channel);
+  void Start(InstanceChannel& channel);
   // `sender` is the "ip:port" of the instance that sent it.
   void OnLoad(const LoadReport& report, const std::string& sender);
   void OnUpdate(const TableUpdate& update);
   void OnFleet(const Fleet& fleet, const RoutePlan& plan);
+  // While the holder's news arrive, the log is read only when they say so.
+  void SetRelayed(bool relayed);
+  // The log goes as far as `offset`, as another instance says.
+  void OnLogGrown(std::uint64_t offset);
+  // The instances that report to this one, if it is the holder.
+  void SendToReporters(const RelayedNews& news);
   // Hands the duty to another instance.
   void Stop();
   bool IsStopped() const { return duty_.IsStopped(); }
@@ -89,7 +95,7 @@
   const UpstreamProtocol& protocol_;
   Metrics& metrics_;
   Observer& observer_;
-  LoadChannel* channel_ = nullptr;
+  InstanceChannel* channel_ = nullptr;
   boost::asio::steady_timer join_timer_;
   boost::asio::steady_timer read_timer_;
   boost::asio::steady_timer poll_timer_;
@@ -103,6 +109,9 @@
   bool was_holder_ = false;
   bool was_active_ = false;
   bool reading_now_ = false;
+  bool relayed_ = false;
+  // Load reports without any load that were left out in a row.
+  int empty_reports_ = 0;
   bool stopping_ = false;
 };
 
--- /dev/null
+++ b/packages/entry/relayed_news.cc
@@ -0,0 +1,80 @@
+// Relayed news as JSON datagrams.
+
+#include "entry/relayed_news.h"
+
+#include <boost/json.hpp>
+
+#include "base/json_text.h"
+
+namespace pollenrudder {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kEntryFields = 8;
+
+json::array EncodeChange(const FleetChange& change) {
+  json::array fields{change.name};
+  if (!change.entry)
+    return fields;
+  const ListedUpstream& entry = *change.entry;
+  fields.emplace_back(entry.service);
+  fields.emplace_back(entry.address);
+  fields.emplace_back(entry.zone);
+  fields.emplace_back(entry.slots);
+  fields.emplace_back(entry.leaving);
+  fields.emplace_back(duration_cast<milliseconds>(entry.cold_remaining).count());
+  fields.emplace_back(entry.born.count());
+  return fields;
+}
+
+FleetChange ParseChange(const json::array& fields) {
+  FleetChange change;
+  change.name = JsonText(fields.at(0));
+  if (fields.size() < kEntryFields)
+    return change;
+  ListedUpstream entry;
+  entry.name = change.name;
+  entry.service = JsonText(fields.at(1));
+  entry.address = JsonText(fields.at(2));
+  entry.zone = JsonText(fields.at(3));
+  entry.slots = fields.at(4).to_number<std::uint32_t>();
+  entry.leaving = fields.at(5).as_bool();
+  entry.cold_remaining = milliseconds(fields.at(6).to_number<std::int64_t>());
+  entry.born = milliseconds(fields.at(7).to_number<std::int64_t>());
+  change.entry = std::move(entry);
+  return change;
+}
+
+}  // namespace
+
+std::string EncodeRelayedNews(const RelayedNews& news) {
+  json::array changes;
+  for (const FleetChange& change : news.changes)
+    changes.push_back(EncodeChange(change));
+  return json::serialize(json::array{news.list_from, news.list_to,
+                                     std::move(changes), news.plan_version,
+                                     news.duty_offset});
+}
+
+std::optional<RelayedNews> ParseRelayedNews(std::string_view text) {
+  try {
+    const json::value value = json::parse({text.data(), text.size()});
+    const json::array& fields = value.as_array();
+    RelayedNews news;
+    news.list_from = fields.at(0).to_number<std::uint64_t>();
+    news.list_to = fields.at(1).to_number<std::uint64_t>();
+    for (const json::value& change : fields.at(2).as_array())
+      news.changes.push_back(ParseChange(change.as_array()));
+    news.plan_version = fields.at(3).to_number<std::uint64_t>();
+    news.duty_offset = fields.at(4).to_number<std::uint64_t>();
+    return news;
+  } catch (const std::exception&) {
+    // Boost.JSON reports a malformed datagram by an exception.
+    return std::nullopt;
+  }
+}
+
+}  // namespace pollenrudder
--- /dev/null
+++ b/packages/entry/relayed_news.h
@@ -0,0 +1,35 @@
+// What the granting instance tells the others about list and configuration.
+
+#ifndef POLLENRUDDER_ENTRY_RELAYED_NEWS_H_
+#define POLLENRUDDER_ENTRY_RELAYED_NEWS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/fleet_change.h"
+
+namespace pollenrudder {
+
+// Sent after each reading of the list, so that it also shows that the sender
+// lives and reaches the store. It reaches back over several readings: a lost
+// datagram leaves no gap.
+struct RelayedNews {
+  // The changes between two positions of the list.
+  std::uint64_t list_from = 0;
+  std::uint64_t list_to = 0;
+  std::vector<FleetChange> changes;
+  std::uint64_t plan_version = 0;
+  // How far the log of the granting duty goes.
+  std::uint64_t duty_offset = 0;
+};
+
+std::string EncodeRelayedNews(const RelayedNews& news);
+// Returns nothing for a datagram that is malformed.
+std::optional<RelayedNews> ParseRelayedNews(std::string_view text);
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ENTRY_RELAYED_NEWS_H_
--- a/packages/fleet/fleet_observer.h
+++ b/packages/fleet/fleet_observer.h
@@ -3,6 +3,7 @@
 #ifndef POLLENRUDDER_FLEET_FLEET_OBSERVER_H_
 #define POLLENRUDDER_FLEET_FLEET_OBSERVER_H_
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -19,9 +20,13 @@
 
   // May be older than one that came before; the observer ignores it then.
   virtual void OnPlan(std::shared_ptr<const RoutePlan> plan) = 0;
-  virtual void OnFleetChanges(const std::vector<FleetChange>& changes) = 0;
-  // The whole list, as read at one time.
-  virtual void OnFleetListing(const std::vector<ListedUpstream>& entries) = 0;
+  // The changes of the list between two positions; empty if there were none.
+  virtual void OnFleetChanges(std::uint64_t from,
+                              std::uint64_t to,
+                              const std::vector<FleetChange>& changes) = 0;
+  // The whole list, as it was at `position`.
+  virtual void OnFleetListing(std::uint64_t position,
+                              const std::vector<ListedUpstream>& entries) = 0;
   // The list cannot be read, or can be read again.
   virtual void OnListLost() = 0;
   virtual void OnListReturned() = 0;
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -488,8 +488,7 @@
   call.valid_until = confirmed_at_ + options_.times.term_lapse;
   row.next_grant = now + options_.times.renew_every;
   row.grant_sent = true;
-  row.owner_hold.OnSent(now + options_.times.call_timeout +
-                        options_.times.Stretched(call.hold));
+  row.owner_hold.OnSent();
   calls_[call.id] = {call};
   actions.calls.push_back(std::move(call));
 }
--- a/packages/grants/grant_duty_property_test.cc
+++ b/packages/grants/grant_duty_property_test.cc
@@ -297,10 +297,28 @@
     }
   }
 
+  // A call may wait behind others before it is sent.
   void Call(int index, const KeyCall& call) {
+    if (!Chance(0.1)) {
+      Send(index, call);
+      return;
+    }
+    const int life = instances_[index].life;
+    Later(Delay(3000), [=, this] {
+      Tell(index, life, [=, this](GrantDuty&) { Send(index, call); });
+    });
+  }
+
+  void Send(int index, const KeyCall& call) {
     const int life = instances_[index].life;
-    if (now_ >= call.valid_until)
+    if (now_ >= call.valid_until) {
+      Later(0ms, [=, this] {
+        Tell(index, life, [=, this](GrantDuty& duty) {
+          duty.OnCallEnded(call.id, KeyCallResult::kUnreachable, "", now_);
+        });
+      });
       return;
+    }
     const auto at = std::ranges::find(upstreams_, call.upstream.name,
                                       &Upstream::name);
     const std::size_t upstream =
--- a/packages/grants/hold_state.h
+++ b/packages/grants/hold_state.h
@@ -14,16 +14,18 @@
 // until the last moment at which its time can end.
 class HoldState {
  public:
-  void OnSent(BootTime latest_end) { pending_until_ = latest_end; }
+  // A call may wait for others before it is sent, so that nothing is known of
+  // its end before it is answered or given up.
+  void OnSent() { pending_ = true; }
   void OnAnswered(BootTime end) {
-    pending_until_ = {};
+    pending_ = false;
     held_until_ = std::max(held_until_, end);
   }
   void OnUnanswered(BootTime latest_end) {
-    pending_until_ = {};
+    pending_ = false;
     unanswered_until_ = std::max(unanswered_until_, latest_end);
   }
-  void OnNotSent() { pending_until_ = {}; }
+  void OnNotSent() { pending_ = false; }
   void OnReleased() { held_until_ = {}; }
   // Counts grants that another instance may have sent.
   void AssumeHeldUntil(BootTime end) {
@@ -35,20 +37,19 @@
   }
 
   // The time until which a grant may be in effect although it was released.
-  BootTime unanswered_end() const {
-    return std::max(unanswered_until_, pending_until_);
-  }
-  bool HasCallPending() const { return pending_until_ != BootTime{}; }
+  BootTime unanswered_end() const { return unanswered_until_; }
+  bool HasCallPending() const { return pending_; }
   // The time after which the upstream cannot use the grant any more.
   BootTime end() const {
-    return std::max({held_until_, unanswered_until_, pending_until_});
+    return pending_ ? BootTime::max()
+                    : std::max(held_until_, unanswered_until_);
   }
 
  private:
   BootTime held_until_{};
   BootTime unanswered_until_{};
-  // Not the epoch while a grant waits for its answer.
-  BootTime pending_until_{};
+  // A grant waits to be sent or to be answered.
+  bool pending_ = false;
 };
 
 }  // namespace pollenrudder
