--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -23,9 +23,11 @@
 // the balancer may still send them.
 constexpr milliseconds kAcceptWhileLeaving{2600};
 // The process ends this long before it would be ended by force.
-constexpr milliseconds kLeaveMargin{250};
+constexpr milliseconds kLeaveMargin{150};
 // What has not been sent to an upstream by then is refused.
 constexpr milliseconds kRefuseMargin{1000};
+// What upstreams still work on by then is ended.
+constexpr milliseconds kEndMargin{400};
 
 std::uint64_t RandomSeed() {
   std::random_device device;
@@ -300,6 +302,8 @@
   }
   if (passed >= settings_.grace_period - kRefuseMargin)
     forwarder_.RefuseWaiting();
+  if (passed >= settings_.grace_period - kEndMargin)
+    forwarder_.EndInFlight();
   // Links close themselves once idle; the set changes meanwhile.
   const std::vector<std::shared_ptr<CallerLink>> links(links_.begin(),
                                                        links_.end());
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -547,6 +547,20 @@
   }
 }
 
+void Forwarder::EndInFlight() {
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, request] : requests_)
+    ids.push_back(id);
+  for (const std::uint64_t id : ids) {
+    const auto at = requests_.find(id);
+    if (at == requests_.end())
+      continue;
+    if (at->second.link)
+      std::exchange(at->second.link, nullptr)->Abort();
+    Fail(at, ErrorKind::kUnknownUpstreamLost, nanoseconds(0));
+  }
+}
+
 void Forwarder::CloseIdleLinks() {
   const BootTime now = BootClock::now();
   for (auto& [name, pool] : pools_)
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -71,6 +71,9 @@
   }
   // Refuses the requests that have not been sent, since this instance ends.
   void RefuseWaiting();
+  // Ends the requests that upstreams still work on, so that answers which wait
+  // behind them on a caller's connection can be sent.
+  void EndInFlight();
   // Closes connections to upstreams that have been idle for long.
   void CloseIdleLinks();
   std::size_t active_count() const { return requests_.size(); }
