Keep the duty with a live holder; stop sending to addresses that were reused

Ruled out: the allowance itself (no resend for pedidos in the window). The holder now shows that it lives, a 421 of another upstream ends the use of the address, and one request at a time tests a doubtful owner.

--- a/packages/dispatch/attempt_result.h
+++ b/packages/dispatch/attempt_result.h
@@ -12,8 +12,10 @@
   kFailedAnswer,
   // The upstream rejected the request without running it, for lack of room.
   kShed,
-  // The upstream does not own the key, or is another one. Not run.
+  // The upstream does not own the key. Not run.
   kMisrouted,
+  // Another upstream has the address by now. Not run.
+  kReplaced,
   // No byte of the request was sent: the connection could not be opened.
   kUnreachable,
   // The request may have run: the connection broke or the answer is damaged.
@@ -29,6 +31,7 @@
 constexpr bool ProvesNotRun(AttemptResult result) {
   return result == AttemptResult::kShed ||
          result == AttemptResult::kMisrouted ||
+         result == AttemptResult::kReplaced ||
          result == AttemptResult::kUnreachable;
 }
 
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -31,6 +31,9 @@
 constexpr double kMinSuccess = 0.1;
 // Spreads equal choices over the upstreams.
 constexpr double kChoiceNoise = 0.15;
+// How long requests wait after the owner of their keys said that it is none: a
+// new owner is known within this time, or the grant has arrived.
+constexpr milliseconds kDoubtPause{80};
 constexpr nanoseconds kDefaultLatency = milliseconds(50);
 constexpr milliseconds kMinRetryAfter{100};
 constexpr milliseconds kMaxRetryAfter{3000};
@@ -113,6 +116,7 @@
                          BootTime now) {
   Service& state = services_[service];
   state.keys = table;
+  state.doubtful_rows.clear();
   Pump(state, now);
 }
 
@@ -137,21 +141,26 @@
   return at != services_.end() && at->second.waiting.Remove(id).has_value();
 }
 
-void Dispatcher::OnEnded(const std::string& service_name,
+void Dispatcher::OnEnded(const DispatchRequest& request,
                          const std::string& upstream_name,
                          AttemptResult result,
                          nanoseconds elapsed,
-                         nanoseconds aim,
                          BootTime now) {
-  const auto service = services_.find(service_name);
+  const auto service = services_.find(request.service);
   if (service == services_.end())
     return;
   const auto at = service->second.upstreams.find(upstream_name);
   if (at != service->second.upstreams.end() &&
       at->second.load.in_flight() > 0) {
-    at->second.load.OnEnded(result, elapsed, aim, now);
+    at->second.load.OnEnded(result, elapsed, request.aim, now);
     if (result == AttemptResult::kAnswered)
       ++at->second.answered;
+    at->second.replaced |= result == AttemptResult::kReplaced;
+  }
+  if (result == AttemptResult::kMisrouted && request.key &&
+      service->second.keys != nullptr) {
+    if (const KeyAssignment* row = service->second.keys->Find(*request.key))
+      service->second.doubtful_rows[row->keys.first] = now + kDoubtPause;
   }
   Pump(service->second, now);
 }
@@ -225,9 +234,16 @@
   if (row == nullptr || row->moving)
     return {Choice::kNoOwner};
   const auto at = service.upstreams.find(row->owner.name);
-  if (at == service.upstreams.end() || at->second.entry.leaving ||
+  if (at == service.upstreams.end() || !at->second.IsUsable() ||
       at->second.entry.born != row->owner.born)
     return {Choice::kNoOwner};
+  const auto doubt = service.doubtful_rows.find(row->keys.first);
+  if (doubt != service.doubtful_rows.end()) {
+    if (now < doubt->second)
+      return {Choice::kNoOwner};
+    // One request finds out, the others wait on.
+    doubt->second = now + kDoubtPause;
+  }
   if (!at->second.load.HasRoom(now))
     return {Choice::kWait};
   return {Choice::kSend, &at->second};
@@ -247,7 +263,7 @@
   std::optional<nanoseconds> stay;
   const bool skip_tried = request.tried.size() < service.upstreams.size();
   for (auto& [name, upstream] : service.upstreams) {
-    if (upstream.entry.leaving)
+    if (!upstream.IsUsable())
       continue;
     any = true;
     if (skip_tried && std::ranges::find(request.tried, name) !=
@@ -353,7 +369,7 @@
                      std::max(1.0, at->second.load.limit()));
   }
   for (const auto& [name, upstream] : service.upstreams) {
-    if (!upstream.entry.leaving && upstream.same_region &&
+    if (upstream.IsUsable() && upstream.same_region &&
         !upstream.load.IsAvoided(now))
       capacity += upstream.load.limit();
   }
@@ -367,7 +383,7 @@
   double sum = 0;
   int count = 0;
   for (const auto& [name, upstream] : service.upstreams) {
-    if (upstream.entry.leaving || upstream.load.IsAvoided(now))
+    if (!upstream.IsUsable() || upstream.load.IsAvoided(now))
       continue;
     sum += Count(upstream.load.ExpectedLatency(now));
     ++count;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -59,11 +59,10 @@
   // not wait.
   bool Cancel(const std::string& service, std::uint64_t id);
   // A request that was sent has ended.
-  void OnEnded(const std::string& service,
+  void OnEnded(const DispatchRequest& request,
                const std::string& upstream,
                AttemptResult result,
                std::chrono::nanoseconds elapsed,
-               std::chrono::nanoseconds aim,
                BootTime now);
 
   // Sends and refuses what the time has made due. Call every few 10 ms while
@@ -88,6 +87,11 @@
     bool same_zone = false;
     bool same_region = false;
     std::uint32_t answered = 0;
+    // Another upstream answers at its address: it has ended, though the list
+    // does not say so yet.
+    bool replaced = false;
+
+    bool IsUsable() const { return !entry.leaving && !replaced; }
   };
   struct Service {
     std::map<std::string, Upstream, std::less<>> upstreams;
@@ -95,6 +99,9 @@
     const KeyTable* keys = nullptr;
     WaitingLine waiting;
     std::vector<KeyNumber> arrived_keys;
+    // Rows, by first key, whose owner said that it does not own them, and until
+    // when requests for them wait for news.
+    std::map<KeyNumber, BootTime> doubtful_rows;
   };
   enum class Choice { kSend, kWait, kNoUpstream, kNoOwner };
   struct Decision {
--- a/packages/dispatch/upstream_load.cc
+++ b/packages/dispatch/upstream_load.cc
@@ -62,6 +62,7 @@
       Shrink(now);
       return;
     case AttemptResult::kMisrouted:
+    case AttemptResult::kReplaced:
     case AttemptResult::kAbandoned:
       return;
     case AttemptResult::kTimedOut:
--- a/packages/entry/caller_link.cc
+++ b/packages/entry/caller_link.cc
@@ -42,6 +42,8 @@
 
 void CallerLink::Start() {
   SetLinkOptions(socket_);
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
   idle_since_ = BootClock::now();
   Read();
   ArmTimer();
@@ -62,22 +64,45 @@
   Close();
 }
 
+void CallerLink::StopReading() {
+  StartLeaving();
+  if (closed_ || stopped_reading_)
+    return;
+  stopped_reading_ = true;
+  last_request_read_ = true;
+  if (places_.empty() && writing_.empty())
+    Close();
+}
+
 void CallerLink::Read() {
-  if (reading_ || closed_ || closing_)
+  if (reading_ || closed_ || closing_ || stopped_reading_)
     return;
   reading_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](boost::system::error_code error,
-                                  std::size_t bytes) {
-        self->reading_ = false;
-        self->OnRead(error, bytes);
-      });
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](
+                         boost::system::error_code error) {
+                       self->reading_ = false;
+                       self->OnReadable(error);
+                     });
 }
 
-void CallerLink::OnRead(boost::system::error_code error, std::size_t bytes) {
+void CallerLink::OnReadable(boost::system::error_code error) {
   if (closed_)
     return;
+  if (closing_) {
+    if (writing_.empty())
+      ReadToEnd();
+    return;
+  }
+  if (stopped_reading_)
+    return;
+  std::size_t bytes = 0;
+  if (!error)
+    bytes = socket_.read_some(buffer_.prepare(kReadBytes), error);
+  if (error == boost::asio::error::would_block) {
+    Read();
+    return;
+  }
   if (error) {
     if (!places_.empty())
       owner_.OnCallerLeft(shared_from_this());
@@ -85,10 +110,6 @@
     return;
   }
   buffer_.commit(bytes);
-  if (closing_ && writing_.empty()) {
-    ReadToEnd();
-    return;
-  }
   ParseRequests();
 }
 
@@ -226,7 +247,7 @@
     if (const auto self = weak.lock(); self && !error)
       self->Close();
   });
-  if (!reading_)
+  if (!reading_ && !stopped_reading_)
     ReadToEnd();
 }
 
--- a/packages/entry/caller_link.h
+++ b/packages/entry/caller_link.h
@@ -49,6 +49,8 @@
   // Answers the last request read with "Connection: close", and closes an idle
   // connection.
   void StartLeaving();
+  // Takes no further request; what has been read is answered.
+  void StopReading();
   BootTime idle_since() const { return idle_since_; }
 
  private:
@@ -63,7 +65,7 @@
   CallerLink(boost::asio::ip::tcp::socket socket, CallerLinkOwner& owner);
 
   void Read();
-  void OnRead(boost::system::error_code error, std::size_t bytes);
+  void OnReadable(boost::system::error_code error);
   void ParseRequests();
   void Refuse(ErrorKind kind);
   void Flush();
@@ -93,6 +95,8 @@
   bool closing_ = false;
   bool closed_ = false;
   bool leaving_ = false;
+  // Bytes of a caller are left unread, so that it knows they were not taken.
+  bool stopped_reading_ = false;
   // The link takes no more requests: the last one asked for the end.
   bool last_request_read_ = false;
   BootTime idle_since_{};
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -307,8 +307,12 @@
   // Links close themselves once idle; the set changes meanwhile.
   const std::vector<std::shared_ptr<CallerLink>> links(links_.begin(),
                                                        links_.end());
-  for (const auto& link : links)
-    link->StartLeaving();
+  for (const auto& link : links) {
+    if (acceptor_.is_open())
+      link->StartLeaving();
+    else
+      link->StopReading();
+  }
   const bool done = !acceptor_.is_open() && links_.empty() &&
                     forwarder_.active_count() == 0;
   if (done || passed >= settings_.grace_period - kLeaveMargin) {
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -51,6 +51,8 @@
       return "shed";
     case AttemptResult::kMisrouted:
       return "misrouted";
+    case AttemptResult::kReplaced:
+      return "replaced";
     case AttemptResult::kUnreachable:
       return "unreachable";
     case AttemptResult::kLost:
@@ -207,19 +209,18 @@
           {"sends", request.sends},
           {"after_ms", Milliseconds(now - request.dispatch.arrived)}};
     });
-    const std::string service = request.dispatch.service;
+    const DispatchRequest dispatch = request.dispatch;
     const std::optional<ListedUpstream> upstream = request.upstream;
     const BootTime sent_at = request.sent_at;
-    const nanoseconds aim = request.dispatch.aim;
     const std::shared_ptr<HttpLink> link = request.link;
-    dispatcher_.Cancel(service, at->first);
+    dispatcher_.Cancel(dispatch.service, at->first);
     at = requests_.erase(at);
     if (link) {
       link->Abort();
       // Requests that this sends are added to the map's end, or change entries
       // in place: iterators stay valid.
-      dispatcher_.OnEnded(service, upstream->name, AttemptResult::kAbandoned,
-                          now - sent_at, aim, now);
+      dispatcher_.OnEnded(dispatch, upstream->name, AttemptResult::kAbandoned,
+                          now - sent_at, now);
       at = requests_.begin();
     }
   }
@@ -259,7 +260,8 @@
 }
 
 AttemptResult Forwarder::Judge(LinkResult result,
-                               const HttpResponse& response) const {
+                               const HttpResponse& response,
+                               const std::string& upstream) const {
   switch (result) {
     case LinkResult::kRefused:
     case LinkResult::kNotConnected:
@@ -272,7 +274,7 @@
     case LinkResult::kAnswered:
       break;
   }
-  switch (protocol_.Classify(response)) {
+  switch (protocol_.Classify(response, upstream)) {
     case AnswerKind::kSuccess:
       return AttemptResult::kAnswered;
     case AnswerKind::kFailure:
@@ -281,6 +283,8 @@
       return AttemptResult::kShed;
     case AnswerKind::kNotRunWrongUpstream:
       return AttemptResult::kMisrouted;
+    case AnswerKind::kNotRunReplaced:
+      return AttemptResult::kReplaced;
     case AnswerKind::kForeign:
       return AttemptResult::kLost;
   }
@@ -295,8 +299,8 @@
     return;
   ActiveRequest& request = at->second;
   const BootTime now = BootClock::now();
-  const AttemptResult result = Judge(link_result, response);
   const ListedUpstream upstream = *request.upstream;
+  const AttemptResult result = Judge(link_result, response, upstream.name);
   request.may_have_run |= !ProvesNotRun(result);
   const std::shared_ptr<HttpLink> link = std::exchange(request.link, nullptr);
   const auto pool = pools_.find(upstream.name);
@@ -307,8 +311,7 @@
   const nanoseconds elapsed = now - request.sent_at;
   metrics_.Count("entry_attempts_total",
                  "result=\"" + std::string(Name(result)) + '"');
-  const nanoseconds aim = request.dispatch.aim;
-  const std::string service = request.dispatch.service;
+  const DispatchRequest dispatch = request.dispatch;
 
   const bool final_answer =
       result == AttemptResult::kAnswered ||
@@ -326,7 +329,7 @@
              : result == AttemptResult::kMisrouted
                  ? ErrorKind::kNotRunMoved
                  : ErrorKind::kNotRunOverloaded,
-         dispatcher_.RetryAfter(service));
+         dispatcher_.RetryAfter(dispatch.service));
   } else {
     Fail(at, result == AttemptResult::kTimedOut
                  ? ErrorKind::kUnknownDeadline
@@ -335,7 +338,7 @@
                  : ErrorKind::kUnknownUpstreamLost,
          nanoseconds(0));
   }
-  dispatcher_.OnEnded(service, upstream.name, result, elapsed, aim, now);
+  dispatcher_.OnEnded(dispatch, upstream.name, result, elapsed, now);
   ScheduleTick();
 }
 
@@ -390,8 +393,8 @@
   std::exchange(request.link, nullptr)->Abort();
   request.may_have_run = true;
   const ListedUpstream upstream = *std::exchange(request.upstream, {});
-  dispatcher_.OnEnded(request.dispatch.service, upstream.name, result,
-                      now - request.sent_at, request.dispatch.aim, now);
+  dispatcher_.OnEnded(request.dispatch, upstream.name, result,
+                      now - request.sent_at, now);
 }
 
 void Forwarder::ArmTimer(ActiveRequest& request, BootTime now) {
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -93,7 +93,8 @@
   LinkPool& PoolOf(const ListedUpstream& upstream);
   void OnAttemptEnded(std::uint64_t id, LinkResult result,
                       HttpResponse& response);
-  AttemptResult Judge(LinkResult result, const HttpResponse& response) const;
+  AttemptResult Judge(LinkResult result, const HttpResponse& response,
+                      const std::string& upstream) const;
   // Whether the request may be sent once more after `result`; takes the
   // allowance for it.
   bool TakeResend(ActiveRequest& request, AttemptResult result, BootTime now);
--- a/packages/entry/http_link.cc
+++ b/packages/entry/http_link.cc
@@ -54,14 +54,9 @@
   parser_ = std::make_unique<HttpResponseParser>(
       ParseLimits{.body_bytes = options_.body_limit}, options_.head_request,
       CloseDelimited::kAccept);
-  timer_.expires_after(connected_ ? options_.timeout
-                                  : std::min(options_.connect_timeout,
-                                             options_.timeout));
-  timer_.async_wait([self = shared_from_this(), call = call_](
-                        boost::system::error_code error) {
-    if (!error && call == self->call_)
-      self->OnTimeout();
-  });
+  ArmTimer(connected_
+               ? options_.timeout
+               : std::min(options_.connect_timeout, options_.timeout));
   if (connected_)
     Write();
   else
@@ -74,6 +69,15 @@
   Close();
 }
 
+void HttpLink::ArmTimer(std::chrono::nanoseconds timeout) {
+  timer_.expires_after(timeout);
+  timer_.async_wait([self = shared_from_this(), call = call_](
+                        boost::system::error_code error) {
+    if (!error && call == self->call_)
+      self->OnTimeout();
+  });
+}
+
 void HttpLink::Connect() {
   socket_.async_connect(
       endpoint_, [self = shared_from_this(),
@@ -88,12 +92,7 @@
         }
         SetLinkOptions(self->socket_);
         self->connected_ = true;
-        self->timer_.expires_after(self->options_.timeout);
-        self->timer_.async_wait(
-            [self, call](boost::system::error_code timer_error) {
-              if (!timer_error && call == self->call_)
-                self->OnTimeout();
-            });
+        self->ArmTimer(self->options_.timeout);
         self->Write();
       });
 }
@@ -160,6 +159,8 @@
   while (true) {
     const ParseStatus status = parser_->Parse(buffer_);
     if (status == ParseStatus::kNeedMore) {
+      if (options_.progress_timeout.count() > 0)
+        ArmTimer(options_.progress_timeout);
       Read();
       return;
     }
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -167,7 +167,10 @@
     if (stopping_)
       return;
     if (turn) {
+      const bool was_owner = duty_.IsTurnOwner();
       duty_.OnTurn(turn.value().mine, sent_at, BootClock::now());
+      if (duty_.IsTurnOwner() && !was_owner)
+        ReadNow();
       if (turn.value().instances != instances_) {
         instances_ = turn.value().instances;
         observer_.OnInstanceCount(instances_);
@@ -220,8 +223,11 @@
                   }
                 }
                 std::chrono::milliseconds pause = kRetryPause;
-                if (batch)
-                  pause = relayed_ ? kRelayedPause : kFollowerPause;
+                if (batch) {
+                  // The owner of the turn watches whether the holder lives.
+                  pause = relayed_ && !duty_.IsTurnOwner() ? kRelayedPause
+                                                           : kFollowerPause;
+                }
                 read_timer_.expires_after(pause);
                 read_timer_.async_wait([this](boost::system::error_code error) {
                   if (!error)
@@ -245,7 +251,7 @@
     Poll();
   });
   // Without news from the holder, the readings go on at their own pace.
-  if (!relayed_ && !duty_.IsHolder() &&
+  if ((!relayed_ || duty_.IsTurnOwner()) && !duty_.IsHolder() &&
       read_timer_.expiry() > std::chrono::steady_clock::now() + kFollowerPause) {
     read_timer_.expires_after(kFollowerPause);
     read_timer_.async_wait([this](boost::system::error_code error) {
--- a/packages/entry/upstream_protocol.h
+++ b/packages/entry/upstream_protocol.h
@@ -23,6 +23,8 @@
   // Proof that the upstream did not run it.
   kNotRunNoRoom,
   kNotRunWrongUpstream,
+  // As well, and another upstream has the address by now.
+  kNotRunReplaced,
   // An answer that no upstream of the platform gives.
   kForeign,
 };
@@ -39,7 +41,9 @@
       const HttpRequest& request,
       const ListedUpstream& upstream,
       std::chrono::nanoseconds time_left) const = 0;
-  virtual AnswerKind Classify(const HttpResponse& response) const = 0;
+  // `upstream` is the name of the one to which the request was sent.
+  virtual AnswerKind Classify(const HttpResponse& response,
+                              std::string_view upstream) const = 0;
   // Returns whether the answer is the one to the request of this id.
   virtual bool Answers(const HttpResponse& response,
                        std::string_view request_id) const = 0;
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -22,9 +22,11 @@
 constexpr milliseconds kRetryPause{250};
 // Between appends after one that failed.
 constexpr milliseconds kAppendPause{100};
-// How long a new owner of the turn waits for the holder to resign: a live one
-// hears of it with its next join.
-constexpr milliseconds kResignPatience{1300};
+// A holder without the turn shows this often that it lives. One that has not
+// done so for the patience of the turn's owner is taken to be lost; a live one
+// hears within a second that its turn has passed on.
+constexpr milliseconds kKeepInterval{1000};
+constexpr milliseconds kHolderPatience{2600};
 // Failed calls in a row after which an upstream gets no keys for a while.
 constexpr std::uint32_t kMaxFailures = 2;
 constexpr milliseconds kAvoidPause{4000};
@@ -82,12 +84,16 @@
   const std::optional<TermRecord> former = std::exchange(term_, term);
   term_offset_ = offset;
   term_seen_ = now;
+  const bool mine =
+      term.instance == options_.instance && term.life == options_.life;
+  const bool same_holder = former && former->instance == term.instance &&
+                           former->life == term.life && !former->resigned;
+  if (same_holder && !term.resigned)
+    return;
   // Two instances that both believe it is their turn must not take the duty
   // from each other again and again.
   turn_is_mine_ = false;
-  const bool mine =
-      term.instance == options_.instance && term.life == options_.life;
-  if (mine && !term.resigned && !holder_)
+  if (mine && !term.resigned)
     BecomeHolder(former, term.wait, now);
   else if (holder_)
     ForgetHolderState();
@@ -201,6 +207,19 @@
           std::chrono::ceil<milliseconds>(unanswered - now)};
 }
 
+std::optional<TermRecord> GrantDuty::MakeReminder(BootTime now) {
+  // A successor need not wait again for those that this one has waited for.
+  const bool settles = term_->wait.count() > 0 && now >= changes_from_;
+  const bool keeps = turn_is_elsewhere_ && now >= next_keep_;
+  if (!settles && !keeps)
+    return std::nullopt;
+  next_keep_ = now + kKeepInterval;
+  TermRecord reminder = *term_;
+  if (settles)
+    reminder.wait = milliseconds(0);
+  return reminder;
+}
+
 void GrantDuty::BecomeHolder(const std::optional<TermRecord>& former,
                              milliseconds wait,
                              BootTime now) {
@@ -231,7 +250,6 @@
 
 void GrantDuty::ForgetHolderState() {
   holder_ = false;
-  handing_over_ = false;
   confirmed_at_ = {};
   changes_from_ = {};
   calls_.clear();
@@ -266,7 +284,7 @@
   turn_is_mine_ = mine && sent_at > term_seen_;
   if (turn_is_mine_ && !was_mine)
     turn_since_ = now;
-  handing_over_ = holder_ && !mine && sent_at > term_seen_;
+  turn_is_elsewhere_ = !mine;
 }
 
 void GrantDuty::OnFleet(const Fleet& fleet,
@@ -365,9 +383,8 @@
     return true;
   if (!turn_is_mine_)
     return false;
-  // A live holder resigns when it hears that the turn has passed on, and then
-  // nothing has to be waited for.
-  return !term_ || term_->resigned || now >= turn_since_ + kResignPatience;
+  return !term_ || term_->resigned ||
+         now >= std::max(turn_since_, term_seen_) + kHolderPatience;
 }
 
 bool GrantDuty::HasOpenGrant() const {
@@ -388,7 +405,7 @@
   }
   if (!IsActive(now))
     return actions;
-  if (stopping_ || handing_over_) {
+  if (stopping_) {
     if (!HasOpenGrant() && may_append) {
       append_ =
           DutyAppend{{EncodeDutyRecord(MakeResignation(now))}, next_offset_};
@@ -408,6 +425,10 @@
     if (const auto table = PlanTable(service, state, token, now))
       append.records.push_back(EncodeDutyRecord(TableRecord{service, *table}));
   }
+  if (may_append) {
+    if (const auto reminder = MakeReminder(now))
+      append.records.push_back(EncodeDutyRecord(*reminder));
+  }
   if (!append.records.empty()) {
     append_ = std::move(append);
     actions.append = append_;
--- a/packages/grants/grant_duty.h
+++ b/packages/grants/grant_duty.h
@@ -39,6 +39,10 @@
 // - Keys go to a new owner when the former one has released them, or when its
 //   hold is over, and no grant without an answer can still take effect at it.
 //
+// The turn only says who takes over when the holder is lost. A holder whose turn
+// passes on keeps the duty, and appends its term again and again to show that
+// it lives: every change of holder pauses the changes of assignments.
+//
 // Related: KeyPlanner decides the moves, KeyTable is what instances route by.
 class GrantDuty {
  public:
@@ -89,6 +93,8 @@
   DutyActions Poll(BootTime now);
 
   bool IsHolder() const { return holder_; }
+  // The instance that takes over when the holder is lost.
+  bool IsTurnOwner() const { return turn_is_mine_; }
   // Holder, with a term that the store has proved recently enough.
   bool IsActive(BootTime now) const;
   bool IsStopped() const { return stopping_ && !holder_ && !append_; }
@@ -152,6 +158,8 @@
   std::chrono::milliseconds WaitAfterClaim() const;
   TermRecord MakeClaim() const;
   TermRecord MakeResignation(BootTime now) const;
+  // The term once more: to show that its holder lives, or that its wait is over.
+  std::optional<TermRecord> MakeReminder(BootTime now);
   bool HasOpenGrant() const;
   void PollRows(const std::string& service, ServiceState& state, BootTime now,
                 DutyActions& actions);
@@ -190,8 +198,9 @@
   BootTime turn_since_{};
   // When the newest term was learned.
   BootTime term_seen_{};
-  // The turn went to another instance: resign as soon as no grant is open.
-  bool handing_over_ = false;
+  // Another instance has the turn: it is to hear that this holder lives.
+  bool turn_is_elsewhere_ = false;
+  BootTime next_keep_{};
   bool stopping_ = false;
   bool holder_ = false;
   BootTime confirmed_at_{};
--- a/packages/grants/key_planner.cc
+++ b/packages/grants/key_planner.cc
@@ -17,8 +17,10 @@
 // The difference that makes a move worth its pause in service, well above the
 // noise of samples of one second.
 constexpr double kMinDifference = 0.4;
-// Moves planned at one time. More are planned when these have been made.
+// Moves planned at one time, for up to so many upstreams; more for more of
+// them.
 constexpr std::size_t kMaxMoves = 6;
+constexpr std::size_t kUpstreamsPerMove = 4;
 // Requests within the window that a moved range must have had.
 constexpr std::size_t kMinSamples = 3;
 // Parts into which the keys of a lost upstream are split.
@@ -244,7 +246,9 @@
 
   void Balance() {
     const std::size_t already = moves_.size();
-    while (moves_.size() < already + kMaxMoves && row_count_ < max_rows_) {
+    const std::size_t most =
+        std::max(kMaxMoves, candidates_.size() / kUpstreamsPerMove);
+    while (moves_.size() < already + most && row_count_ < max_rows_) {
       const auto [low, high] = std::ranges::minmax_element(
           candidates_, {}, [](const Candidate& known) { return known.load; });
       const double difference = high->load - low->load;
