--- a/apps/pollenrudderd/control_thread.h
+++ b/apps/pollenrudderd/control_thread.h
@@ -14,10 +14,10 @@
 
 #include "base/bounded_ring.h"
 #include "callers/routing_table_holder.h"
+#include "logstore/logstore_thread.h"
 #include "ownership/controller.h"
 #include "peers/peer_client.h"
 #include "peers/peer_server.h"
-#include "logstore/logstore_thread.h"
 #include "upstreams/upstream_sender.h"
 
 namespace pollenrudder {
--- a/packages/base/log_event.h
+++ b/packages/base/log_event.h
@@ -12,7 +12,7 @@
 
 // A kind of log line. Numbers never change their meaning and are not reused.
 // Ranges: 1000 daemon, 2000 ownership, 3000 routing, 4000 platform, 5000
-// peers, 6000 upstreams, 7000 callers, 8000 operators and document.
+// peers, 6000 upstreams, 7000 callers, 8000 operators and document, 9000 entry.
 struct LogEvent {
   int number;
   std::string_view name;
--- a/packages/callers/caller_session.h
+++ b/packages/callers/caller_session.h
@@ -14,8 +14,8 @@
 #include "base/boot_clock.h"
 #include "base/error_kind.h"
 #include "callers/request_handler.h"
-#include "upstreams/byte_stream.h"
 #include "http/http_parser.h"
+#include "upstreams/byte_stream.h"
 
 namespace pollenrudder {
 
--- a/packages/callers/callers_test.cc
+++ b/packages/callers/callers_test.cc
@@ -12,9 +12,9 @@
 #include "callers/caller_server.h"
 #include "callers/forward_handler.h"
 #include "callers/ingress.h"
+#include "http/http_parser.h"
 #include "routing/shard_of.h"
 #include "upstreams/fake_upstream_test.h"
-#include "http/http_parser.h"
 
 namespace pollenrudder {
 namespace {
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -87,10 +87,9 @@
     const auto service = services_.find(entry.service);
     if (service == services_.end())
       continue;
-    const double max_limit =
-        std::max(1.0, kConnectionShare *
-                          plan.PolicyOf(entry.service).max_connections /
-                          instances);
+    const double max_limit = std::max(
+        1.0, kConnectionShare * plan.PolicyOf(entry.service).max_connections /
+                 instances);
     auto& upstreams = service->second.upstreams;
     const auto known = upstreams.find(name);
     if (known != upstreams.end()) {
@@ -213,10 +212,9 @@
         load.upstreams[upstream_name] = {upstream.load.in_flight(), answered};
     }
     for (const DispatchRequest& request : service.waiting.requests()) {
-      const KeyAssignment* row =
-          service.keys != nullptr && request.key
-              ? service.keys->Find(*request.key)
-              : nullptr;
+      const KeyAssignment* row = service.keys != nullptr && request.key
+                                     ? service.keys->Find(*request.key)
+                                     : nullptr;
       if (row != nullptr)
         ++load.upstreams[row->owner.name].outstanding;
     }
@@ -266,15 +264,14 @@
     if (!upstream.IsUsable())
       continue;
     any = true;
-    if (skip_tried && std::ranges::find(request.tried, name) !=
-                          request.tried.end())
+    if (skip_tried &&
+        std::ranges::find(request.tried, name) != request.tried.end())
       continue;
     const nanoseconds latency = upstream.load.ExpectedLatency(now);
     const double success =
         std::max(kMinSuccess, 1 - upstream.load.failure_share());
-    const double busy =
-        1 + static_cast<double>(upstream.load.in_flight()) /
-                std::max<double>(upstream.entry.slots, 1);
+    const double busy = 1 + static_cast<double>(upstream.load.in_flight()) /
+                                std::max<double>(upstream.entry.slots, 1);
     if (upstream.same_region && !upstream.load.IsAvoided(now)) {
       const nanoseconds time = FromCount(Count(latency) / success);
       if (!stay || time < *stay)
@@ -297,9 +294,8 @@
     return {Choice::kNoUpstream};
   if (best == nullptr)
     return {Choice::kWait};
-  const bool can_stay =
-      stay && now - request.arrived + *stay <
-                  FromCount(Count(request.aim) * kStayShare);
+  const bool can_stay = stay && now - request.arrived + *stay <
+                                    FromCount(Count(request.aim) * kStayShare);
   if (!best->same_region && can_stay)
     return {Choice::kWait};
   return {Choice::kSend, best};
@@ -319,9 +315,8 @@
       return true;
     case Choice::kNoOwner: {
       const nanoseconds patience = std::max(
-          request.aim,
-          FromCount(Count(request.give_up_at - request.arrived) *
-                    kOwnerPatience));
+          request.aim, FromCount(Count(request.give_up_at - request.arrived) *
+                                 kOwnerPatience));
       if (now < request.arrived + patience)
         return false;
       Refuse(request, ErrorKind::kNotRunNoOwner, kNoUpstreamRetryAfter);
@@ -354,9 +349,8 @@
   if (service.owns_keys && request.key) {
     const KeyAssignment* row =
         service.keys == nullptr ? nullptr : service.keys->Find(*request.key);
-    const auto at = row == nullptr
-                        ? service.upstreams.end()
-                        : service.upstreams.find(row->owner.name);
+    const auto at = row == nullptr ? service.upstreams.end()
+                                   : service.upstreams.find(row->owner.name);
     if (at == service.upstreams.end())
       return nanoseconds(0);
     for (const DispatchRequest& other : service.waiting.requests()) {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -109,9 +109,11 @@
     Upstream* upstream = nullptr;
   };
 
-  Decision Decide(Service& service, const DispatchRequest& request,
+  Decision Decide(Service& service,
+                  const DispatchRequest& request,
                   BootTime now);
-  Decision DecideByKey(Service& service, const DispatchRequest& request,
+  Decision DecideByKey(Service& service,
+                       const DispatchRequest& request,
                        BootTime now);
   // Handles one waiting request; returns whether it leaves the line.
   bool Handle(Service& service, const DispatchRequest& request, BootTime now);
@@ -122,7 +124,8 @@
                                         BootTime now) const;
   std::chrono::nanoseconds MeanLatency(const Service& service,
                                        BootTime now) const;
-  void Refuse(const DispatchRequest& request, ErrorKind kind,
+  void Refuse(const DispatchRequest& request,
+              ErrorKind kind,
               std::chrono::nanoseconds wait);
   double Draw() { return draw_(random_); }
 
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -57,7 +57,8 @@
     plan.services["soil"].max_connections = 100;
   }
 
-  void Add(const std::string& name, const std::string& zone,
+  void Add(const std::string& name,
+           const std::string& zone,
            std::uint32_t slots = 2) {
     ListedUpstream entry;
     entry.name = name;
@@ -69,7 +70,8 @@
     dispatcher.SetFleet(fleet, plan, 4, At(0ms));
   }
 
-  DispatchRequest Request(std::uint64_t id, BootTime now,
+  DispatchRequest Request(std::uint64_t id,
+                          BootTime now,
                           std::uint32_t priority = 1) const {
     DispatchRequest request;
     request.id = id;
@@ -81,8 +83,10 @@
     return request;
   }
 
-  void End(const std::string& upstream, AttemptResult result,
-           milliseconds elapsed, BootTime now) {
+  void End(const std::string& upstream,
+           AttemptResult result,
+           milliseconds elapsed,
+           BootTime now) {
     DispatchRequest request;
     request.service = "soil";
     request.aim = 300ms;
--- a/packages/dispatch/upstream_load.cc
+++ b/packages/dispatch/upstream_load.cc
@@ -41,8 +41,8 @@
   --in_flight_;
   if (result == AttemptResult::kAbandoned)
     return;
-  const bool failed = result != AttemptResult::kAnswered &&
-                      result != AttemptResult::kMisrouted;
+  const bool failed =
+      result != AttemptResult::kAnswered && result != AttemptResult::kMisrouted;
   failure_share_ += kFailureWeight * ((failed ? 1 : 0) - failure_share_);
   switch (result) {
     case AttemptResult::kAnswered:
@@ -66,8 +66,8 @@
     case AttemptResult::kAbandoned:
       return;
     case AttemptResult::kTimedOut:
-      latency_ns_ += kLatencyWeight *
-                     (static_cast<double>(elapsed.count()) - latency_ns_);
+      latency_ns_ +=
+          kLatencyWeight * (static_cast<double>(elapsed.count()) - latency_ns_);
       Shrink(now);
       [[fallthrough]];
     case AttemptResult::kUnreachable:
@@ -96,7 +96,8 @@
   if (last_answer_ != BootTime{} && in_flight_ == 0) {
     const std::chrono::duration<double> age = now - last_answer_;
     const auto first = static_cast<double>(options_.first_latency.count());
-    const double kept = kForgetHalf.count() / (kForgetHalf.count() + age.count());
+    const double kept =
+        kForgetHalf.count() / (kForgetHalf.count() + age.count());
     if (latency > first)
       latency = first + (latency - first) * kept;
   }
--- a/packages/dispatch/upstream_load_test.cc
+++ b/packages/dispatch/upstream_load_test.cc
@@ -14,7 +14,8 @@
 }
 
 UpstreamLoad MakeLoad() {
-  return UpstreamLoad({.first_latency = 50ms, .first_limit = 2, .max_limit = 6});
+  return UpstreamLoad(
+      {.first_latency = 50ms, .first_limit = 2, .max_limit = 6});
 }
 
 // Load pattern: a slow upstream. It must not keep as many requests in flight as
@@ -62,9 +63,9 @@
   UpstreamLoad load = MakeLoad();
   for (int round = 0; round < 40; ++round) {
     load.OnSent();
-    load.OnEnded(round % 2 == 0 ? AttemptResult::kShed
-                                : AttemptResult::kAnswered,
-                 60ms, 300ms, At(60ms * (round + 1)));
+    load.OnEnded(
+        round % 2 == 0 ? AttemptResult::kShed : AttemptResult::kAnswered, 60ms,
+        300ms, At(60ms * (round + 1)));
   }
   CHECK(load.failure_share() > 0.3);
 }
--- a/packages/dispatch/waiting_line.cc
+++ b/packages/dispatch/waiting_line.cc
@@ -9,8 +9,8 @@
 namespace pollenrudder {
 
 void WaitingLine::Add(DispatchRequest request) {
-  const auto at = std::ranges::find_if(
-      requests_, [&](const DispatchRequest& other) {
+  const auto at =
+      std::ranges::find_if(requests_, [&](const DispatchRequest& other) {
         return std::pair(other.priority, other.arrived) >
                std::pair(request.priority, request.arrived);
       });
--- a/packages/entry/caller_link.cc
+++ b/packages/entry/caller_link.cc
@@ -78,12 +78,12 @@
   if (reading_ || closed_ || closing_ || stopped_reading_)
     return;
   reading_ = true;
-  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
-                     [self = shared_from_this()](
-                         boost::system::error_code error) {
-                       self->reading_ = false;
-                       self->OnReadable(error);
-                     });
+  socket_.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](boost::system::error_code error) {
+        self->reading_ = false;
+        self->OnReadable(error);
+      });
 }
 
 void CallerLink::OnReadable(boost::system::error_code error) {
@@ -141,8 +141,7 @@
       break;
     }
     if (status != ParseStatus::kDone) {
-      Refuse(status == ParseStatus::kHeaderTooLarge
-                 ? ErrorKind::kHeaderTooLarge
+      Refuse(status == ParseStatus::kHeaderTooLarge ? ErrorKind::kHeaderTooLarge
              : status == ParseStatus::kBodyTooLarge
                  ? ErrorKind::kBodyTooLarge
                  : ErrorKind::kMalformedRequest);
--- a/packages/entry/caller_link.h
+++ b/packages/entry/caller_link.h
@@ -30,9 +30,8 @@
   // Requests that a caller may have unanswered; more are read later.
   static constexpr std::size_t kMaxPipelined = 32;
 
-  static std::shared_ptr<CallerLink> Create(
-      boost::asio::ip::tcp::socket socket,
-      CallerLinkOwner& owner);
+  static std::shared_ptr<CallerLink> Create(boost::asio::ip::tcp::socket socket,
+                                            CallerLinkOwner& owner);
   ~CallerLink();
   CallerLink(const CallerLink&) = delete;
   CallerLink& operator=(const CallerLink&) = delete;
--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -31,8 +31,7 @@
                                             LogLevel::kInfo};
 // The list of upstreams cannot be read, or can be read again.
 inline constexpr LogEvent kListLost{9009, "list_lost", LogLevel::kWarning};
-inline constexpr LogEvent kListReturned{9010, "list_returned",
-                                        LogLevel::kInfo};
+inline constexpr LogEvent kListReturned{9010, "list_returned", LogLevel::kInfo};
 // The instance started, began to leave, or ended.
 inline constexpr LogEvent kEntryStarted{9011, "entry_started", LogLevel::kInfo};
 inline constexpr LogEvent kEntryLeaving{9012, "entry_leaving", LogLevel::kInfo};
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -101,10 +101,9 @@
   if (!error)
     acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
   if (error) {
-    return MakeError(
-        ErrorKind::kInvalidSettings,
-        "cannot listen on " + settings_.caller_address + ": " +
-            error.message());
+    return MakeError(ErrorKind::kInvalidSettings, "cannot listen on " +
+                                                      settings_.caller_address +
+                                                      ": " + error.message());
   }
   const auto answer = [this](std::string_view path) {
     return AnswerProbe(path);
@@ -132,8 +131,7 @@
 void EntryInstance::Accept() {
   acceptor_.async_accept([this](boost::system::error_code error,
                                 boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted ||
-        !acceptor_.is_open())
+    if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
       return;
     if (!error) {
       const auto link = CallerLink::Create(std::move(socket), *this);
@@ -211,8 +209,8 @@
 }
 
 void EntryInstance::SendNews() {
-  duty_.SendToReporters(relay_.MakeNews(plan_ ? plan_->version : 0,
-                                        duty_.duty().next_offset()));
+  duty_.SendToReporters(
+      relay_.MakeNews(plan_ ? plan_->version : 0, duty_.duty().last_change()));
 }
 
 void EntryInstance::OnReport(const LoadReport& report,
@@ -260,9 +258,8 @@
   const auto next = fleet_.NextRemoval();
   if (!next)
     return;
-  removal_timer_.expires_after(
-      std::max<std::chrono::nanoseconds>(*next - BootClock::now(),
-                                         milliseconds(0)));
+  removal_timer_.expires_after(std::max<std::chrono::nanoseconds>(
+      *next - BootClock::now(), milliseconds(0)));
   removal_timer_.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
@@ -313,12 +310,11 @@
     else
       link->StopReading();
   }
-  const bool done = !acceptor_.is_open() && links_.empty() &&
-                    forwarder_.active_count() == 0;
+  const bool done =
+      !acceptor_.is_open() && links_.empty() && forwarder_.active_count() == 0;
   if (done || passed >= settings_.grace_period - kLeaveMargin) {
-    EventLog::Write(kEntryStopped,
-                    {{"instance", settings_.instance},
-                     {"requests", forwarder_.active_count()}});
+    EventLog::Write(kEntryStopped, {{"instance", settings_.instance},
+                                    {"requests", forwarder_.active_count()}});
     io_.stop();
     return;
   }
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -24,8 +24,8 @@
 #include "entry/news_relay.h"
 #include "entry/probe_server.h"
 #include "entry/upstream_protocol.h"
-#include "fleet/fleet.h"
 #include "fleet/feed_control.h"
+#include "fleet/fleet.h"
 #include "fleet/fleet_observer.h"
 #include "grants/duty_log.h"
 
@@ -62,7 +62,8 @@
 
   // FleetObserver:
   void OnPlan(std::shared_ptr<const RoutePlan> plan) override;
-  void OnFleetChanges(std::uint64_t from, std::uint64_t to,
+  void OnFleetChanges(std::uint64_t from,
+                      std::uint64_t to,
                       const std::vector<FleetChange>& changes) override;
   void OnFleetListing(std::uint64_t position,
                       const std::vector<ListedUpstream>& entries) override;
@@ -89,7 +90,8 @@
 
   // CallerLinkOwner:
   CallerLimits LimitsInForce() const override;
-  void OnRequest(const std::shared_ptr<CallerLink>& link, std::uint64_t place,
+  void OnRequest(const std::shared_ptr<CallerLink>& link,
+                 std::uint64_t place,
                  HttpRequest request) override;
   void OnCallerLeft(const std::shared_ptr<CallerLink>& link) override;
   void OnLinkClosed(const std::shared_ptr<CallerLink>& link) override;
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -245,18 +245,17 @@
   options.timeout = left + kAnswerSlack * 2;
   options.connect_timeout = kConnectTimeout;
   options.head_request = request.message.method == "HEAD";
-  options.belongs = [this, id = request.request_id](
-                        const HttpResponse& response) {
+  options.belongs = [this,
+                     id = request.request_id](const HttpResponse& response) {
     return protocol_.Answers(response, id);
   };
   ArmTimer(request, now);
-  request.link->Call(protocol_.FormatForUpstream(request.message, upstream,
-                                                 left),
-                     std::move(options),
-                     [this, id = dispatch.id](LinkResult result,
-                                              HttpResponse& response) {
-                       OnAttemptEnded(id, result, response);
-                     });
+  request.link->Call(
+      protocol_.FormatForUpstream(request.message, upstream, left),
+      std::move(options),
+      [this, id = dispatch.id](LinkResult result, HttpResponse& response) {
+        OnAttemptEnded(id, result, response);
+      });
 }
 
 AttemptResult Forwarder::Judge(LinkResult result,
@@ -313,10 +312,9 @@
                  "result=\"" + std::string(Name(result)) + '"');
   const DispatchRequest dispatch = request.dispatch;
 
-  const bool final_answer =
-      result == AttemptResult::kAnswered ||
-      (result == AttemptResult::kFailedAnswer &&
-       (!request.repeatable || response.status < 500));
+  const bool final_answer = result == AttemptResult::kAnswered ||
+                            (result == AttemptResult::kFailedAnswer &&
+                             (!request.repeatable || response.status < 500));
   if (final_answer) {
     Deliver(at, response);
   } else if (TakeResend(request, result, now)) {
@@ -324,18 +322,17 @@
   } else if (result == AttemptResult::kFailedAnswer) {
     Deliver(at, response);
   } else if (!request.may_have_run) {
-    Fail(at, result == AttemptResult::kUnreachable
-                 ? ErrorKind::kNotRunUnreachable
-             : result == AttemptResult::kMisrouted
-                 ? ErrorKind::kNotRunMoved
-                 : ErrorKind::kNotRunOverloaded,
+    Fail(at,
+         result == AttemptResult::kUnreachable ? ErrorKind::kNotRunUnreachable
+         : result == AttemptResult::kMisrouted ? ErrorKind::kNotRunMoved
+                                               : ErrorKind::kNotRunOverloaded,
          dispatcher_.RetryAfter(dispatch.service));
   } else {
-    Fail(at, result == AttemptResult::kTimedOut
-                 ? ErrorKind::kUnknownDeadline
-             : link_result == LinkResult::kDamaged
-                 ? ErrorKind::kUnknownAnswerDamaged
-                 : ErrorKind::kUnknownUpstreamLost,
+    Fail(at,
+         result == AttemptResult::kTimedOut ? ErrorKind::kUnknownDeadline
+         : link_result == LinkResult::kDamaged
+             ? ErrorKind::kUnknownAnswerDamaged
+             : ErrorKind::kUnknownUpstreamLost,
          nanoseconds(0));
   }
   dispatcher_.OnEnded(dispatch, upstream.name, result, elapsed, now);
@@ -405,9 +402,8 @@
   if (may_try_elsewhere) {
     const auto total = static_cast<double>(
         (request.dispatch.give_up_at - request.sent_at).count());
-    at = std::min(at, request.sent_at +
-                          nanoseconds(static_cast<std::int64_t>(
-                              total * kAttemptShare)));
+    at = std::min(at, request.sent_at + nanoseconds(static_cast<std::int64_t>(
+                                            total * kAttemptShare)));
   }
   request.timer->expires_after(std::max(at - now, nanoseconds(0)));
   request.timer->async_wait(
@@ -441,8 +437,9 @@
   dispatcher_.Cancel(request.dispatch.service, id);
   EndAttempt(request, AttemptResult::kTimedOut, now);
   at = requests_.find(id);
-  Fail(at, at->second.may_have_run ? ErrorKind::kUnknownDeadline
-                                   : ErrorKind::kNotRunOverloaded,
+  Fail(at,
+       at->second.may_have_run ? ErrorKind::kUnknownDeadline
+                               : ErrorKind::kNotRunOverloaded,
        nanoseconds(0));
   ScheduleTick();
 }
@@ -478,9 +475,9 @@
   ActiveRequest request = std::move(at->second);
   requests_.erase(at);
   const bool not_run = AnswerFor(kind).outcome == Outcome::kNotRun;
-  metrics_.Count(not_run ? "entry_requests_refused_total"
-                         : "entry_requests_failed_total",
-                 "kind=\"" + std::string(AnswerFor(kind).name) + '"');
+  metrics_.Count(
+      not_run ? "entry_requests_refused_total" : "entry_requests_failed_total",
+      "kind=\"" + std::string(AnswerFor(kind).name) + '"');
   EventLog::WriteLazily(not_run ? kRequestRefused : kRequestFailed, [&] {
     return std::vector<LogField>{
         {"request", request.request_id},
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -91,9 +91,11 @@
 
   RetryAllowance& AllowanceOf(const std::string& service);
   LinkPool& PoolOf(const ListedUpstream& upstream);
-  void OnAttemptEnded(std::uint64_t id, LinkResult result,
+  void OnAttemptEnded(std::uint64_t id,
+                      LinkResult result,
                       HttpResponse& response);
-  AttemptResult Judge(LinkResult result, const HttpResponse& response,
+  AttemptResult Judge(LinkResult result,
+                      const HttpResponse& response,
                       const std::string& upstream) const;
   // Whether the request may be sent once more after `result`; takes the
   // allowance for it.
@@ -104,7 +106,8 @@
   void ArmTimer(ActiveRequest& request, BootTime now);
   void OnTimer(std::uint64_t id);
   void Deliver(Requests::iterator at, const HttpResponse& response);
-  void Fail(Requests::iterator at, ErrorKind kind,
+  void Fail(Requests::iterator at,
+            ErrorKind kind,
             std::chrono::nanoseconds retry_after);
   void ScheduleTick();
 
--- a/packages/entry/http_link.cc
+++ b/packages/entry/http_link.cc
@@ -54,9 +54,8 @@
   parser_ = std::make_unique<HttpResponseParser>(
       ParseLimits{.body_bytes = options_.body_limit}, options_.head_request,
       CloseDelimited::kAccept);
-  ArmTimer(connected_
-               ? options_.timeout
-               : std::min(options_.connect_timeout, options_.timeout));
+  ArmTimer(connected_ ? options_.timeout
+                      : std::min(options_.connect_timeout, options_.timeout));
   if (connected_)
     Write();
   else
@@ -71,30 +70,29 @@
 
 void HttpLink::ArmTimer(std::chrono::nanoseconds timeout) {
   timer_.expires_after(timeout);
-  timer_.async_wait([self = shared_from_this(), call = call_](
-                        boost::system::error_code error) {
+  timer_.async_wait([self = shared_from_this(),
+                     call = call_](boost::system::error_code error) {
     if (!error && call == self->call_)
       self->OnTimeout();
   });
 }
 
 void HttpLink::Connect() {
-  socket_.async_connect(
-      endpoint_, [self = shared_from_this(),
-                  call = call_](boost::system::error_code error) {
-        if (call != self->call_)
-          return;
-        if (error) {
-          self->Finish(error == boost::asio::error::connection_refused
-                           ? LinkResult::kRefused
-                           : LinkResult::kNotConnected);
-          return;
-        }
-        SetLinkOptions(self->socket_);
-        self->connected_ = true;
-        self->ArmTimer(self->options_.timeout);
-        self->Write();
-      });
+  socket_.async_connect(endpoint_, [self = shared_from_this(), call = call_](
+                                       boost::system::error_code error) {
+    if (call != self->call_)
+      return;
+    if (error) {
+      self->Finish(error == boost::asio::error::connection_refused
+                       ? LinkResult::kRefused
+                       : LinkResult::kNotConnected);
+      return;
+    }
+    SetLinkOptions(self->socket_);
+    self->connected_ = true;
+    self->ArmTimer(self->options_.timeout);
+    self->Write();
+  });
 }
 
 void HttpLink::Write() {
--- a/packages/entry/http_link.h
+++ b/packages/entry/http_link.h
@@ -45,8 +45,8 @@
  public:
   struct CallOptions {
     std::chrono::nanoseconds timeout = std::chrono::seconds(1);
-    // If set, an answer that has begun to arrive may take longer than `timeout`,
-    // as long as more of it comes within this time.
+    // If set, an answer that has begun to arrive may take longer than
+    // `timeout`, as long as more of it comes within this time.
     std::chrono::nanoseconds progress_timeout{0};
     // For the connection alone.
     std::chrono::nanoseconds connect_timeout = std::chrono::seconds(1);
--- a/packages/entry/instance_channel.cc
+++ b/packages/entry/instance_channel.cc
@@ -70,25 +70,25 @@
 }
 
 void InstanceChannel::Receive() {
-  socket_.async_wait(
-      boost::asio::ip::udp::socket::wait_read,
-      [this](boost::system::error_code error) {
-        if (error)
-          return;
-        while (true) {
-          boost::system::error_code read_error;
-          const std::size_t size = socket_.available(read_error);
-          if (read_error || size == 0)
-            break;
-          buffer_.resize(size);
-          const std::size_t bytes = socket_.receive_from(
-              boost::asio::buffer(buffer_), sender_, 0, read_error);
-          if (read_error)
-            break;
-          Dispatch(std::string_view(buffer_.data(), bytes));
-        }
-        Receive();
-      });
+  socket_.async_wait(boost::asio::ip::udp::socket::wait_read,
+                     [this](boost::system::error_code error) {
+                       if (error)
+                         return;
+                       while (true) {
+                         boost::system::error_code read_error;
+                         const std::size_t size = socket_.available(read_error);
+                         if (read_error || size == 0)
+                           break;
+                         buffer_.resize(size);
+                         const std::size_t bytes =
+                             socket_.receive_from(boost::asio::buffer(buffer_),
+                                                  sender_, 0, read_error);
+                         if (read_error)
+                           break;
+                         Dispatch(std::string_view(buffer_.data(), bytes));
+                       }
+                       Receive();
+                     });
 }
 
 void InstanceChannel::Dispatch(std::string_view text) {
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -206,34 +206,34 @@
   const BootTime sent_at = BootClock::now();
   const milliseconds wait =
       duty_.IsHolder() && !duty_.NeedsLog() ? kHolderWait : milliseconds(0);
-  log_.Follow(duty_.next_offset(), wait,
-              [this, sent_at](Result<DutyLog::Batch> batch) {
-                if (batch && batch.value().forgotten) {
-                  ReadNewest();
-                  return;
-                }
-                if (batch) {
-                  duty_.OnLog(ToRecords(batch.value()), batch.value().end,
-                              sent_at, BootClock::now());
-                  OnChange();
-                  Poll();
-                  if (duty_.IsHolder()) {
-                    Follow();
-                    return;
-                  }
-                }
-                std::chrono::milliseconds pause = kRetryPause;
-                if (batch) {
-                  // The owner of the turn watches whether the holder lives.
-                  pause = relayed_ && !duty_.IsTurnOwner() ? kRelayedPause
-                                                           : kFollowerPause;
-                }
-                read_timer_.expires_after(pause);
-                read_timer_.async_wait([this](boost::system::error_code error) {
-                  if (!error)
-                    Follow();
-                });
-              });
+  log_.Follow(
+      duty_.next_offset(), wait, [this, sent_at](Result<DutyLog::Batch> batch) {
+        if (batch && batch.value().forgotten) {
+          ReadNewest();
+          return;
+        }
+        if (batch) {
+          duty_.OnLog(ToRecords(batch.value()), batch.value().end, sent_at,
+                      BootClock::now());
+          OnChange();
+          Poll();
+          if (duty_.IsHolder()) {
+            Follow();
+            return;
+          }
+        }
+        std::chrono::milliseconds pause = kRetryPause;
+        if (batch) {
+          // The owner of the turn watches whether the holder lives.
+          pause =
+              relayed_ && !duty_.IsTurnOwner() ? kRelayedPause : kFollowerPause;
+        }
+        read_timer_.expires_after(pause);
+        read_timer_.async_wait([this](boost::system::error_code error) {
+          if (!error)
+            Follow();
+        });
+      });
 }
 
 void KeyDutyDriver::ReadNow() {
@@ -252,7 +252,8 @@
   });
   // Without news from the holder, the readings go on at their own pace.
   if ((!relayed_ || duty_.IsTurnOwner()) && !duty_.IsHolder() &&
-      read_timer_.expiry() > std::chrono::steady_clock::now() + kFollowerPause) {
+      read_timer_.expiry() >
+          std::chrono::steady_clock::now() + kFollowerPause) {
     read_timer_.expires_after(kFollowerPause);
     read_timer_.async_wait([this](boost::system::error_code error) {
       if (!error)
@@ -300,15 +301,15 @@
       read_timer_.cancel();
       Follow();
     }
-    EventLog::Write(holder ? kDutyTaken : kDutyEnded,
-                    {{"term", duty_.term_offset()},
-                     {"instance", duty_.term() ? duty_.term()->instance
-                                               : std::string("none")},
-                     {"changes_in_ms",
-                      holder ? std::chrono::duration_cast<milliseconds>(
-                                   duty_.changes_from() - now)
-                                   .count()
-                             : 0}});
+    EventLog::Write(
+        holder ? kDutyTaken : kDutyEnded,
+        {{"term", duty_.term_offset()},
+         {"instance",
+          duty_.term() ? duty_.term()->instance : std::string("none")},
+         {"changes_in_ms", holder ? std::chrono::duration_cast<milliseconds>(
+                                        duty_.changes_from() - now)
+                                        .count()
+                                  : 0}});
   }
   const bool active = duty_.IsActive(now);
   if (was_active_ && !active && holder)
@@ -395,8 +396,8 @@
                          const std::function<void()>& then) {
   HttpLink::CallOptions options;
   // A release is answered when the work that runs has ended.
-  options.timeout = call.kind == KeyCall::Kind::kGrant ? times_.call_timeout
-                                                       : times_.hold;
+  options.timeout =
+      call.kind == KeyCall::Kind::kGrant ? times_.call_timeout : times_.hold;
   options.connect_timeout = times_.call_timeout;
   options.reset_on_timeout = true;
   options.may_send = [valid_until = call.valid_until] {
@@ -414,18 +415,17 @@
           answer.first = KeyCallResult::kUnreachable;
         const bool grant = call.kind == KeyCall::Kind::kGrant;
         metrics_.Count("key_calls_total",
-                       std::string("kind=\"") +
-                           (grant ? "grant" : "release") + "\",result=\"" +
-                           std::string(Name(answer.first)) + '"');
+                       std::string("kind=\"") + (grant ? "grant" : "release") +
+                           "\",result=\"" + std::string(Name(answer.first)) +
+                           '"');
         if (answer.first != KeyCallResult::kDone) {
           EventLog::WriteLazily(kKeyCallFailed, [&] {
-            return std::vector<LogField>{
-                {"kind", grant ? "grant" : "release"},
-                {"result", Name(answer.first)},
-                {"upstream", call.upstream.name},
-                {"first", call.keys.first},
-                {"last", call.keys.last},
-                {"token", call.token}};
+            return std::vector<LogField>{{"kind", grant ? "grant" : "release"},
+                                         {"result", Name(answer.first)},
+                                         {"upstream", call.upstream.name},
+                                         {"first", call.keys.first},
+                                         {"last", call.keys.last},
+                                         {"token", call.token}};
           });
         }
         duty_.OnCallEnded(call.id, answer.first, answer.second,
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -83,7 +83,8 @@
   void SendLoad();
   void Start(const KeyCall& call);
   void SendNextGrant(const std::string& upstream);
-  void Send(const std::shared_ptr<HttpLink>& link, const KeyCall& call,
+  void Send(const std::shared_ptr<HttpLink>& link,
+            const KeyCall& call,
             const std::function<void()>& then);
   void OnChange();
 
--- a/packages/entry/probe_server.cc
+++ b/packages/entry/probe_server.cc
@@ -44,8 +44,8 @@
  private:
   void Parse() {
     if (!parser_) {
-      parser_ = std::make_unique<HttpRequestParser>(ParseLimits{},
-                                                    no_body_limit_);
+      parser_ =
+          std::make_unique<HttpRequestParser>(ParseLimits{}, no_body_limit_);
     }
     const ParseStatus status = parser_->Parse(buffer_);
     if (status == ParseStatus::kNeedMore) {
--- a/packages/entry/relayed_news.cc
+++ b/packages/entry/relayed_news.cc
@@ -25,7 +25,8 @@
   fields.emplace_back(entry.zone);
   fields.emplace_back(entry.slots);
   fields.emplace_back(entry.leaving);
-  fields.emplace_back(duration_cast<milliseconds>(entry.cold_remaining).count());
+  fields.emplace_back(
+      duration_cast<milliseconds>(entry.cold_remaining).count());
   fields.emplace_back(entry.born.count());
   return fields;
 }
--- a/packages/entry/relayed_news.h
+++ b/packages/entry/relayed_news.h
@@ -22,7 +22,7 @@
   std::uint64_t list_to = 0;
   std::vector<FleetChange> changes;
   std::uint64_t plan_version = 0;
-  // How far the log of the granting duty goes.
+  // The offset after the last change on the log of the granting duty.
   std::uint64_t duty_offset = 0;
 };
 
--- a/packages/fleet/listed_upstream.h
+++ b/packages/fleet/listed_upstream.h
@@ -28,8 +28,7 @@
 
   // Returns whether both are entries of the same life of the same upstream.
   bool SameLife(const ListedUpstream& other) const {
-    return name == other.name && born == other.born &&
-           address == other.address;
+    return name == other.name && born == other.born && address == other.address;
   }
 };
 
--- a/packages/grants/duty_record.cc
+++ b/packages/grants/duty_record.cc
@@ -48,9 +48,8 @@
 }  // namespace
 
 json::array EncodeKeyRow(const KeyAssignment& row) {
-  json::array fields{row.keys.first,         row.keys.last,
-                     row.owner.name,         row.owner.born.count(),
-                     row.token,              row.moving ? 1 : 0};
+  json::array fields{row.keys.first,         row.keys.last, row.owner.name,
+                     row.owner.born.count(), row.token,     row.moving ? 1 : 0};
   if (row.former) {
     fields.emplace_back(row.former->upstream.name);
     fields.emplace_back(row.former->upstream.born.count());
@@ -108,8 +107,8 @@
       term.life = JsonText(value.at("life"));
       term.report_address = JsonText(value.at("reports"));
       term.resigned = value.at("resigned").as_bool();
-      term.wait = std::chrono::milliseconds(
-          value.at("wait").to_number<std::int64_t>());
+      term.wait =
+          std::chrono::milliseconds(value.at("wait").to_number<std::int64_t>());
       term.unanswered = std::chrono::milliseconds(
           value.at("unanswered").to_number<std::int64_t>());
       return ParsedDutyRecord(std::move(term));
--- a/packages/grants/duty_record_test.cc
+++ b/packages/grants/duty_record_test.cc
@@ -44,8 +44,8 @@
   CHECK_FALSE(ParseDutyRecord({"keys/a", R"([[0,70000,"u",1,2,0]])"}));
   CHECK_FALSE(ParseDutyRecord({"keys/a", R"([[9,5,"u",1,2,0]])"}));
   CHECK_FALSE(ParseDutyRecord({"keys/a", R"([[0,9,"u",1,2]])"}));
-  CHECK_FALSE(ParseDutyRecord(
-      {"keys/a", R"([[0,9,"u",1,2,0],[9,12,"v",1,2,0]])"}));
+  CHECK_FALSE(
+      ParseDutyRecord({"keys/a", R"([[0,9,"u",1,2,0],[9,12,"v",1,2,0]])"}));
 }
 
 }  // namespace
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -90,6 +90,7 @@
                            former->life == term.life && !former->resigned;
   if (same_holder && !term.resigned)
     return;
+  last_change_ = offset + 1;
   // Two instances that both believe it is their turn must not take the duty
   // from each other again and again.
   turn_is_mine_ = false;
@@ -104,13 +105,12 @@
   if (table == record.table)
     return;
   if (holder_) {
-    TableUpdate update{record.service, offset, {}};
+    TableUpdate update{record.service, offset, last_change_, {}};
     for (const KeyAssignment& row : record.table.rows()) {
       const KeyAssignment* old = table.Find(row.keys.first);
       // A row that was only cut needs no update.
       const bool same = old != nullptr && old->owner == row.owner &&
-                        old->token == row.token &&
-                        old->moving == row.moving &&
+                        old->token == row.token && old->moving == row.moving &&
                         old->keys.last >= row.keys.last;
       if (!same)
         update.rows.push_back(row);
@@ -119,14 +119,15 @@
   }
   table = record.table;
   ++tables_version_;
+  last_change_ = offset + 1;
   if (holder_)
     CarryRows(services_[record.service], table);
 }
 
-bool GrantDuty::OnUpdate(const TableUpdate& update, BootTime /*now*/) {
+bool GrantDuty::OnUpdate(const TableUpdate& update, BootTime now) {
   if (holder_ || update.offset < next_offset_)
     return true;
-  if (!log_known_ || update.offset > next_offset_) {
+  if (!log_known_ || update.since > next_offset_) {
     needs_log_ = true;
     return false;
   }
@@ -134,6 +135,10 @@
   for (const KeyAssignment& row : update.rows)
     table.Assign(row);
   next_offset_ = update.offset + 1;
+  // Reminders of the term may lie between; the update shows as well that the
+  // holder lives.
+  term_seen_ = now;
+  last_change_ = next_offset_;
   ++tables_version_;
   return true;
 }
@@ -185,9 +190,8 @@
 }
 
 TermRecord GrantDuty::MakeClaim() const {
-  return {options_.instance,       options_.life,
-          options_.report_address, /*resigned=*/false,
-          WaitAfterClaim(),        milliseconds(0)};
+  return {options_.instance,  options_.life,    options_.report_address,
+          /*resigned=*/false, WaitAfterClaim(), milliseconds(0)};
 }
 
 TermRecord GrantDuty::MakeResignation(BootTime now) const {
@@ -520,10 +524,9 @@
   return !row.grant_sent || !row.row.former || now >= row.former_hold.end();
 }
 
-std::vector<KeyOwnerCandidate> GrantDuty::Candidates(
-    const std::string& service,
-    const ServiceState& state,
-    BootTime now) const {
+std::vector<KeyOwnerCandidate> GrantDuty::Candidates(const std::string& service,
+                                                     const ServiceState& state,
+                                                     BootTime now) const {
   std::vector<KeyOwnerCandidate> candidates;
   for (const auto& [name, upstream] : fleet_) {
     if (upstream.service != service || upstream.leaving)
@@ -560,13 +563,13 @@
       now < state.first_upstream + kFirstPlanPause)
     return std::nullopt;
   state.next_plan = now + kPlanInterval;
-  const std::vector<KeyOwnerCandidate> candidates = Candidates(service, state, now);
+  const std::vector<KeyOwnerCandidate> candidates =
+      Candidates(service, state, now);
   for (const KeyMove& move :
        KeyPlanner::Plan(table, candidates, state.load, now)) {
-    const auto old =
-        std::ranges::find_if(state.rows, [&](const RowState& row) {
-          return row.row.keys.Contains(move.keys.first);
-        });
+    const auto old = std::ranges::find_if(state.rows, [&](const RowState& row) {
+      return row.row.keys.Contains(move.keys.first);
+    });
     KeyAssignment row;
     row.keys = move.keys;
     row.owner = move.to;
--- a/packages/grants/grant_duty.h
+++ b/packages/grants/grant_duty.h
@@ -39,9 +39,9 @@
 // - Keys go to a new owner when the former one has released them, or when its
 //   hold is over, and no grant without an answer can still take effect at it.
 //
-// The turn only says who takes over when the holder is lost. A holder whose turn
-// passes on keeps the duty, and appends its term again and again to show that
-// it lives: every change of holder pauses the changes of assignments.
+// The turn only says who takes over when the holder is lost. A holder whose
+// turn passes on keeps the duty, and appends its term again and again to show
+// that it lives: every change of holder pauses the changes of assignments.
 //
 // Related: KeyPlanner decides the moves, KeyTable is what instances route by.
 class GrantDuty {
@@ -101,6 +101,8 @@
   // An append ended in an unknown way, or failed: read the log now.
   bool NeedsLog() const { return needs_log_; }
   std::uint64_t next_offset() const { return next_offset_; }
+  // The offset after the last record that changed a table or the holder.
+  std::uint64_t last_change() const { return last_change_; }
   // Changes with each change of a table.
   std::uint64_t tables_version() const { return tables_version_; }
   const std::map<std::string, KeyTable, std::less<>>& tables() const {
@@ -143,7 +145,9 @@
     KeyCall call;
   };
 
-  void ApplyRecord(std::uint64_t offset, const DutyRecord& record, BootTime now);
+  void ApplyRecord(std::uint64_t offset,
+                   const DutyRecord& record,
+                   BootTime now);
   void ApplyTerm(std::uint64_t offset, const TermRecord& term, BootTime now);
   void ApplyTable(std::uint64_t offset, const TableRecord& record);
   // Builds the row states of a table that replaces another one.
@@ -158,19 +162,27 @@
   std::chrono::milliseconds WaitAfterClaim() const;
   TermRecord MakeClaim() const;
   TermRecord MakeResignation(BootTime now) const;
-  // The term once more: to show that its holder lives, or that its wait is over.
+  // The term once more: to show that its holder lives, or that its wait is
+  // over.
   std::optional<TermRecord> MakeReminder(BootTime now);
   bool HasOpenGrant() const;
-  void PollRows(const std::string& service, ServiceState& state, BootTime now,
+  void PollRows(const std::string& service,
+                ServiceState& state,
+                BootTime now,
                 DutyActions& actions);
-  void PollMovingRow(const std::string& service, RowState& row, BootTime now,
+  void PollMovingRow(const std::string& service,
+                     RowState& row,
+                     BootTime now,
                      DutyActions& actions);
-  void SendGrant(const std::string& service, RowState& row,
-                 const ListedUpstream& upstream, BootTime now,
+  void SendGrant(const std::string& service,
+                 RowState& row,
+                 const ListedUpstream& upstream,
+                 BootTime now,
                  DutyActions& actions);
   // Returns the new table if something is to be changed.
   std::optional<KeyTable> PlanTable(const std::string& service,
-                                    ServiceState& state, std::uint64_t token,
+                                    ServiceState& state,
+                                    std::uint64_t token,
                                     BootTime now);
   std::vector<KeyOwnerCandidate> Candidates(const std::string& service,
                                             const ServiceState& state,
@@ -187,6 +199,7 @@
   bool log_known_ = false;
   bool needs_log_ = false;
   std::uint64_t next_offset_ = 0;
+  std::uint64_t last_change_ = 0;
   std::uint64_t tables_version_ = 0;
   std::map<std::string, KeyTable, std::less<>> tables_;
   // Filled while this instance is the holder.
--- a/packages/grants/grant_duty_property_test.cc
+++ b/packages/grants/grant_duty_property_test.cc
@@ -4,12 +4,12 @@
 #include "grants/grant_duty.h"
 
 #include <algorithm>
-#include <map>
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -136,7 +136,9 @@
     int life = 0;
   };
 
-  double Draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  double Draw() {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  }
   bool Chance(double share) { return Draw() < share; }
   milliseconds Delay(int most) {
     return milliseconds(static_cast<int>(Draw() * most));
@@ -227,9 +229,8 @@
     if (instance.life != life)
       return;
     if (now_ < instance.frozen_until) {
-      events_.push_back({instance.frozen_until, [=, this] {
-                           Tell(index, life, tell);
-                         }});
+      events_.push_back(
+          {instance.frozen_until, [=, this] { Tell(index, life, tell); }});
       return;
     }
     tell(*instance.duty);
@@ -319,8 +320,8 @@
       });
       return;
     }
-    const auto at = std::ranges::find(upstreams_, call.upstream.name,
-                                      &Upstream::name);
+    const auto at =
+        std::ranges::find(upstreams_, call.upstream.name, &Upstream::name);
     const std::size_t upstream =
         static_cast<std::size_t>(at - upstreams_.begin());
     const milliseconds born = call.upstream.born;
@@ -336,10 +337,10 @@
           target.Apply(call, arrived, now_);
         if (!late) {
           Tell(index, life, [=, this](GrantDuty& duty) {
-            duty.OnCallEnded(call.id,
-                             there ? KeyCallResult::kDone
-                                   : KeyCallResult::kUnreachable,
-                             "", now_);
+            duty.OnCallEnded(
+                call.id,
+                there ? KeyCallResult::kDone : KeyCallResult::kUnreachable, "",
+                now_);
           });
         }
       });
@@ -355,10 +356,9 @@
 
   bool HasOneOwnerAKey() const {
     for (const KeyNumber key : kProbes) {
-      const auto owners =
-          std::ranges::count_if(upstreams_, [&](const Upstream& upstream) {
-            return upstream.Holds(key, now_);
-          });
+      const auto owners = std::ranges::count_if(
+          upstreams_,
+          [&](const Upstream& upstream) { return upstream.Holds(key, now_); });
       if (owners > 1)
         return false;
     }
--- a/packages/grants/grant_duty_test.cc
+++ b/packages/grants/grant_duty_test.cc
@@ -130,8 +130,8 @@
   std::size_t renewals = 0;
   for (const KeyCall& call : duty.Poll(At(7701ms)).calls) {
     CHECK(call.kind == KeyCall::Kind::kGrant);
-    CHECK(call.token == former.tables().at("geodata")
-                            .Find(call.keys.first)->token);
+    CHECK(call.token ==
+          former.tables().at("geodata").Find(call.keys.first)->token);
     duty.OnCallEnded(call.id, KeyCallResult::kDone, "", At(7702ms));
     ++renewals;
   }
@@ -237,8 +237,7 @@
     if (actions.append) {
       std::vector<GrantDuty::LogRecord> records;
       for (const DutyRecord& record : actions.append->records) {
-        records.push_back(
-            {actions.append->at + records.size(), record});
+        records.push_back({actions.append->at + records.size(), record});
       }
       holder.OnAppendEnded(DutyAppendResult::kDone, At(time), At(time));
       other.OnLog(records, holder.next_offset(), At(time), At(time));
@@ -249,19 +248,39 @@
   CHECK(other.Poll(At(23000ms)).append);
 }
 
+// Updates pass over the reminders of the term on the log, and must count as
+// signs of life themselves: otherwise the owner of the turn takes the duty from
+// a busy holder.
+TEST_CASE("GrantDuty counts an update as a sign of life") {
+  GrantDuty duty = MakeDuty("front-2");
+  TermRecord former;
+  former.instance = "front-1";
+  duty.OnLog({{0, EncodeDutyRecord(former)}}, 1, At(0ms), At(0ms));
+  duty.OnTurn(true, At(1ms), At(1ms));
+  TableUpdate update;
+  update.service = "geodata";
+  update.since = 1;
+  update.offset = 2;
+  REQUIRE(duty.OnUpdate(update, At(2000ms)));
+  CHECK_FALSE(duty.Poll(At(4500ms)).append);
+  CHECK(duty.Poll(At(4700ms)).append);
+}
+
 TEST_CASE("GrantDuty applies updates only in the order of the log") {
   GrantDuty duty = MakeDuty("front-2");
   duty.OnLog({}, 4, At(0ms), At(0ms));
   TableUpdate update;
   update.service = "geodata";
-  update.offset = 5;
+  update.offset = 6;
+  update.since = 5;
   update.rows.resize(1);
   update.rows[0].owner.name = "u0";
   CHECK_FALSE(duty.OnUpdate(update, At(10ms)));
   CHECK(duty.NeedsLog());
-  update.offset = 4;
+  // Records that changed no table may lie between.
+  update.since = 3;
   CHECK(duty.OnUpdate(update, At(10ms)));
-  CHECK(duty.next_offset() == 5);
+  CHECK(duty.next_offset() == 7);
   CHECK(duty.tables().at("geodata").Find(7)->owner.name == "u0");
 }
 
--- a/packages/grants/key_load.cc
+++ b/packages/grants/key_load.cc
@@ -69,8 +69,7 @@
 std::chrono::duration<double> KeyLoad::Span(BootTime now) const {
   constexpr std::chrono::duration<double> kShortest{0.2};
   const std::chrono::duration<double> known = now - first_report_;
-  return std::clamp(known, kShortest,
-                    std::chrono::duration<double>(kWindow));
+  return std::clamp(known, kShortest, std::chrono::duration<double>(kWindow));
 }
 
 std::chrono::duration<double> KeyLoad::WorkOf(std::string_view name) const {
@@ -92,8 +91,7 @@
 
 double KeyLoad::OutstandingAt(std::string_view name) const {
   const auto at = upstreams_.find(name);
-  return at == upstreams_.end() ? 0
-                                : Total(at->second.outstanding_by_instance);
+  return at == upstreams_.end() ? 0 : Total(at->second.outstanding_by_instance);
 }
 
 }  // namespace pollenrudder
--- a/packages/grants/key_planner.cc
+++ b/packages/grants/key_planner.cc
@@ -46,9 +46,9 @@
 class PlanBuilder {
  public:
   PlanBuilder(const KeyTable& table,
-       const std::vector<KeyOwnerCandidate>& candidates,
-       KeyLoad& load,
-       BootTime now)
+              const std::vector<KeyOwnerCandidate>& candidates,
+              KeyLoad& load,
+              BootTime now)
       : span_(load.Span(now).count()),
         max_rows_(candidates.size() * KeyPlanner::kMaxRowsPerCandidate),
         row_count_(table.rows().size()) {
@@ -91,13 +91,11 @@
            kIdleKeyLoad * keys.size() / candidate.upstream.slots;
   }
 
-  void AddRow(const KeyAssignment& row,
-              const std::vector<KeyNumber>& samples) {
+  void AddRow(const KeyAssignment& row, const std::vector<KeyNumber>& samples) {
     std::vector<KeyNumber> own = Within(samples, row.keys);
-    const auto owner =
-        std::ranges::find(candidates_, row.owner, [](const Candidate& known) {
-          return known.upstream.life;
-        });
+    const auto owner = std::ranges::find(
+        candidates_, row.owner,
+        [](const Candidate& known) { return known.upstream.life; });
     if (owner == candidates_.end()) {
       ownerless_.push_back({row.keys, std::move(own)});
       return;
@@ -105,9 +103,9 @@
     owner->load += LoadOf(*owner, row.keys, own.size());
     owner->keys += row.keys.size();
     if (!row.moving) {
-      rows_.push_back(
-          {row.keys, static_cast<std::size_t>(owner - candidates_.begin()),
-           std::move(own)});
+      rows_.push_back({row.keys,
+                       static_cast<std::size_t>(owner - candidates_.begin()),
+                       std::move(own)});
     }
   }
 
@@ -178,8 +176,8 @@
       if (best == nullptr)
         return;
       // Half of the requests, or half of the keys if there are few.
-      KeyNumber middle = static_cast<KeyNumber>(
-          best->keys.first + best->keys.size() / 2 - 1);
+      KeyNumber middle =
+          static_cast<KeyNumber>(best->keys.first + best->keys.size() / 2 - 1);
       if (best->samples.size() >= 2 * kMinSamples) {
         middle = std::clamp<KeyNumber>(
             best->samples[best->samples.size() / 2], best->keys.first,
@@ -204,9 +202,8 @@
     const bool has_before = keys.first > row.keys.first;
     const bool has_after = keys.last < row.keys.last;
     const PlannedRow old = row;
-    std::erase_if(rows_, [&](const PlannedRow& other) {
-      return other.keys == old.keys;
-    });
+    std::erase_if(
+        rows_, [&](const PlannedRow& other) { return other.keys == old.keys; });
     if (has_before)
       rows_.push_back({before, old.owner, Within(old.samples, before)});
     if (has_after)
@@ -232,9 +229,8 @@
            ++first) {
         const KeyRange keys{row.samples[first], row.samples[first + count - 1]};
         const std::size_t samples = Within(row.samples, keys).size();
-        const double density =
-            static_cast<double>(std::min(samples, wanted)) / keys.size() *
-            static_cast<double>(count);
+        const double density = static_cast<double>(std::min(samples, wanted)) /
+                               keys.size() * static_cast<double>(count);
         if (!best || density > best_density) {
           best = Piece{&row, keys, samples};
           best_density = density;
@@ -257,8 +253,8 @@
       // Moving this rate makes the two equal.
       const double rate =
           difference / (high->load_per_rate + low->load_per_rate);
-      const auto wanted = static_cast<std::size_t>(
-          std::max(1.0, std::round(rate * span_)));
+      const auto wanted =
+          static_cast<std::size_t>(std::max(1.0, std::round(rate * span_)));
       const auto owner = static_cast<std::size_t>(high - candidates_.begin());
       const auto to = static_cast<std::size_t>(low - candidates_.begin());
       const auto piece = DensestPiece(owner, std::max(wanted, kMinSamples));
--- a/packages/grants/key_planner_test.cc
+++ b/packages/grants/key_planner_test.cc
@@ -48,7 +48,8 @@
   }
 
   // Plays and reports one interval of 100 ms.
-  void Run(const KeyTable& table, const std::vector<KeyNumber>& keys,
+  void Run(const KeyTable& table,
+           const std::vector<KeyNumber>& keys,
            BootTime now) {
     constexpr double kServed = 2 * 100.0 / 90.0;
     ServiceLoad report;
@@ -115,8 +116,8 @@
     std::vector<KeyNumber> keys;
     for (int request = 0; request < 20; ++request) {
       const bool is_hot = time > 1000ms && request < 8;
-      keys.push_back(static_cast<KeyNumber>(is_hot ? hot(random)
-                                                   : any(random)));
+      keys.push_back(
+          static_cast<KeyNumber>(is_hot ? hot(random) : any(random)));
       if (is_hot)
         hot_keys.push_back(keys.back());
     }
--- a/packages/grants/key_table.cc
+++ b/packages/grants/key_table.cc
@@ -9,9 +9,8 @@
 namespace pollenrudder {
 
 KeyTable::KeyTable(std::vector<KeyAssignment> rows) : rows_(std::move(rows)) {
-  std::ranges::sort(rows_, {}, [](const KeyAssignment& row) {
-    return row.keys.first;
-  });
+  std::ranges::sort(rows_, {},
+                    [](const KeyAssignment& row) { return row.keys.first; });
   for (std::size_t index = 1; index < rows_.size(); ++index)
     assert(rows_[index - 1].keys.last < rows_[index].keys.first);
 }
@@ -59,8 +58,8 @@
     next = static_cast<std::uint32_t>(row.keys.last) + 1;
   }
   if (next < kKeyCount) {
-    gaps.push_back({static_cast<KeyNumber>(next),
-                    static_cast<KeyNumber>(kKeyCount - 1)});
+    gaps.push_back(
+        {static_cast<KeyNumber>(next), static_cast<KeyNumber>(kKeyCount - 1)});
   }
   return gaps;
 }
--- a/packages/grants/load_report.cc
+++ b/packages/grants/load_report.cc
@@ -40,8 +40,7 @@
       ServiceLoad& load = report.services[ToText(name)];
       for (const json::value& key : parts.as_array().at(0).as_array())
         load.keys.push_back(key.to_number<KeyNumber>());
-      for (const auto& [upstream, share] :
-           parts.as_array().at(1).as_object()) {
+      for (const auto& [upstream, share] : parts.as_array().at(1).as_object()) {
         load.upstreams[ToText(upstream)] = {
             share.as_array().at(0).to_number<std::uint32_t>(),
             share.as_array().at(1).to_number<std::uint32_t>()};
--- a/packages/grants/table_update.cc
+++ b/packages/grants/table_update.cc
@@ -17,6 +17,7 @@
     rows.push_back(EncodeKeyRow(row));
   return json::serialize(json::object{{"u", update.service},
                                       {"o", update.offset},
+                                      {"p", update.since},
                                       {"r", std::move(rows)}});
 }
 
@@ -26,6 +27,7 @@
     TableUpdate update;
     update.service = JsonText(value.at("u"));
     update.offset = value.at("o").to_number<std::uint64_t>();
+    update.since = value.at("p").to_number<std::uint64_t>();
     for (const json::value& row : value.at("r").as_array())
       update.rows.push_back(ParseKeyRow(row.as_array()));
     return update;
--- a/packages/grants/table_update.h
+++ b/packages/grants/table_update.h
@@ -17,9 +17,11 @@
 // been appended, so that it says nothing that the log does not say.
 struct TableUpdate {
   std::string service;
-  // The offset of the record. An update can be applied only by a reader that
-  // has read the log up to it.
+  // The offset of the record.
   std::uint64_t offset = 0;
+  // No table changed from this offset on up to the record. An update can be
+  // applied only by a reader that has read the log up to here.
+  std::uint64_t since = 0;
   std::vector<KeyAssignment> rows;
 };
 
--- a/packages/http/http_message.cc
+++ b/packages/http/http_message.cc
@@ -58,9 +58,8 @@
   kept.reserve(lines.size());
   while (!lines.empty()) {
     const std::size_t end = lines.find(kLineEnd);
-    const std::size_t size = end == std::string_view::npos
-                                 ? lines.size()
-                                 : end + kLineEnd.size();
+    const std::size_t size =
+        end == std::string_view::npos ? lines.size() : end + kLineEnd.size();
     const std::string_view line = lines.substr(0, size);
     const std::string_view name = line.substr(0, line.find(':'));
     const bool dropped =
--- a/packages/logstore/instance_list_client.h
+++ b/packages/logstore/instance_list_client.h
@@ -13,8 +13,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/metrics.h"
-#include "ownership/listed_instance.h"
 #include "logstore/http_connection.h"
+#include "ownership/listed_instance.h"
 
 namespace pollenrudder {
 
--- a/packages/logstore/log_client.h
+++ b/packages/logstore/log_client.h
@@ -17,12 +17,12 @@
 
 #include "base/log_offset.h"
 #include "base/metrics.h"
-#include "ownership/controller_action.h"
-#include "ownership/controller_input.h"
 #include "logstore/http_connection.h"
 #include "logstore/input_outbox.h"
 #include "logstore/log_tail.h"
 #include "logstore/relay_reader.h"
+#include "ownership/controller_action.h"
+#include "ownership/controller_input.h"
 
 namespace pollenrudder {
 
--- a/packages/logstore/logstore_thread.h
+++ b/packages/logstore/logstore_thread.h
@@ -10,10 +10,10 @@
 #include "base/log_offset.h"
 #include "base/metrics.h"
 #include "base/result.h"
-#include "ownership/controller_action.h"
-#include "ownership/controller_input.h"
 #include "logstore/log_tail.h"
 #include "logstore/relay_reader.h"
+#include "ownership/controller_action.h"
+#include "ownership/controller_input.h"
 
 namespace pollenrudder {
 
--- a/packages/peers/peer_client.cc
+++ b/packages/peers/peer_client.cc
@@ -12,12 +12,12 @@
 
 #include "base/event_log.h"
 #include "base/socket_address.h"
+#include "logstore/http_connection.h"
+#include "logstore/log_client.h"
 #include "peers/json_rpc_codec.h"
 #include "peers/peer_channel.h"
 #include "peers/peer_messages.h"
 #include "peers/peers_events.h"
-#include "logstore/http_connection.h"
-#include "logstore/log_client.h"
 
 namespace pollenrudder {
 namespace {
--- a/packages/peers/peer_client.h
+++ b/packages/peers/peer_client.h
@@ -12,10 +12,10 @@
 #include "base/bounded_ring.h"
 #include "base/metrics.h"
 #include "base/result.h"
+#include "logstore/relay_reader.h"
 #include "ownership/controller_action.h"
 #include "ownership/controller_input.h"
 #include "ownership/listed_instance.h"
-#include "logstore/relay_reader.h"
 
 namespace pollenrudder {
 
--- a/packages/peers/peer_server.cc
+++ b/packages/peers/peer_server.cc
@@ -27,10 +27,10 @@
 
 #include "base/event_log.h"
 #include "base/socket_address.h"
+#include "logstore/http_connection.h"
 #include "peers/json_rpc_codec.h"
 #include "peers/peer_messages.h"
 #include "peers/peers_events.h"
-#include "logstore/http_connection.h"
 
 namespace pollenrudder {
 namespace {
--- a/packages/peers/peer_server.h
+++ b/packages/peers/peer_server.h
@@ -11,9 +11,9 @@
 #include "base/bounded_ring.h"
 #include "base/metrics.h"
 #include "base/result.h"
+#include "logstore/log_tail.h"
 #include "ownership/controller_action.h"
 #include "ownership/controller_input.h"
-#include "logstore/log_tail.h"
 
 namespace pollenrudder {
 
--- a/packages/peers/peers_test.cc
+++ b/packages/peers/peers_test.cc
@@ -14,11 +14,11 @@
 #include <catch2/catch.hpp>
 
 #include "base/socket_address.h"
+#include "logstore/http_connection.h"
 #include "peers/json_rpc_codec.h"
 #include "peers/peer_client.h"
 #include "peers/peer_messages.h"
 #include "peers/peer_server.h"
-#include "logstore/http_connection.h"
 
 namespace pollenrudder {
 namespace {
--- a/packages/upstreams/http_client_connection.h
+++ b/packages/upstreams/http_client_connection.h
@@ -12,8 +12,8 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include "upstreams/byte_stream.h"
 #include "http/http_parser.h"
+#include "upstreams/byte_stream.h"
 
 namespace pollenrudder {
 
