--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -75,10 +75,10 @@
     const double max_limit =
         std::max(1.0, kConnectionShare * plan.PolicyOf(name).max_connections /
                           instances);
-    std::erase_if(service.upstreams, [&](const auto& known) {
+    std::erase_if(service.upstreams, [&fleet](const auto& known) {
       const ListedUpstream* entry = fleet.Find(known.first);
       return entry == nullptr || !entry->SameLife(known.second.entry) ||
-             entry->service != name;
+             entry->service != known.second.entry.service;
     });
     for (auto& [upstream_name, upstream] : service.upstreams)
       upstream.load.set_max_limit(max_limit);
--- a/packages/dispatch/retry_allowance.cc
+++ b/packages/dispatch/retry_allowance.cc
@@ -33,7 +33,8 @@
 }
 
 void RetryAllowance::Advance(BootTime now) {
-  const auto bucket_time = options_.window / kBuckets;
+  const auto bucket_time =
+      options_.window / static_cast<std::int64_t>(kBuckets);
   const std::int64_t bucket = now.time_since_epoch() / bucket_time;
   const std::int64_t steps =
       std::min<std::int64_t>(bucket - current_, kBuckets);
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -15,8 +15,6 @@
 namespace pollenrudder {
 namespace {
 
-using std::chrono::duration_cast;
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
@@ -38,7 +36,8 @@
 constexpr milliseconds kConnectTimeout{1000};
 
 std::string Milliseconds(nanoseconds time) {
-  return std::to_string(duration_cast<microseconds>(time).count() / 1000.0);
+  using Fraction = std::chrono::duration<double, std::milli>;
+  return std::to_string(Fraction(time).count());
 }
 
 std::string_view Name(AttemptResult result) {
@@ -315,11 +314,9 @@
   const bool final_answer = result == AttemptResult::kAnswered ||
                             (result == AttemptResult::kFailedAnswer &&
                              (!request.repeatable || response.status < 500));
-  if (final_answer) {
-    Deliver(at, response);
-  } else if (TakeResend(request, result, now)) {
+  if (!final_answer && TakeResend(request, result, now)) {
     Resend(request, result, now);
-  } else if (result == AttemptResult::kFailedAnswer) {
+  } else if (final_answer || result == AttemptResult::kFailedAnswer) {
     Deliver(at, response);
   } else if (!request.may_have_run) {
     Fail(at,
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -63,7 +63,7 @@
 }  // namespace
 
 KeyDutyDriver::KeyDutyDriver(boost::asio::io_context& io,
-                             GrantDuty::Options options,
+                             const GrantDuty::Options& options,
                              DutyLog& log,
                              const UpstreamProtocol& protocol,
                              Metrics& metrics,
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -40,7 +40,7 @@
 
   // The arguments must outlive the driver.
   KeyDutyDriver(boost::asio::io_context& io,
-                GrantDuty::Options options,
+                const GrantDuty::Options& options,
                 DutyLog& log,
                 const UpstreamProtocol& protocol,
                 Metrics& metrics,
--- a/packages/entry/link_pool.cc
+++ b/packages/entry/link_pool.cc
@@ -18,7 +18,7 @@
 
 std::shared_ptr<HttpLink> LinkPool::Take(bool fresh, BootTime now) {
   while (!idle_.empty()) {
-    const auto link = idle_.back();
+    auto link = idle_.back();
     if (fresh && now > link->last_answer() + kFreshFor)
       break;
     idle_.pop_back();
--- a/packages/fleet/route_plan.cc
+++ b/packages/fleet/route_plan.cc
@@ -44,9 +44,9 @@
 }
 
 const ServicePolicy& RoutePlan::PolicyOf(std::string_view service) const {
-  static const ServicePolicy kDefault;
+  static const ServicePolicy default_policy;
   const auto at = services.find(service);
-  return at == services.end() ? kDefault : at->second;
+  return at == services.end() ? default_policy : at->second;
 }
 
 std::size_t RoutePlan::route_count() const {
--- a/packages/grants/grant_duty_property_test.cc
+++ b/packages/grants/grant_duty_property_test.cc
@@ -120,7 +120,8 @@
   }
 
   double served_share() const {
-    return static_cast<double>(served_) / (steps_ * kProbes.size());
+    return static_cast<double>(served_) /
+           (static_cast<double>(steps_) * static_cast<double>(kProbes.size()));
   }
 
  private:
@@ -224,7 +225,7 @@
   }
 
   // Calls the duty of this life only, and not while it stands still.
-  void Tell(int index, int life, std::function<void(GrantDuty&)> tell) {
+  void Tell(int index, int life, const std::function<void(GrantDuty&)>& tell) {
     Instance& instance = instances_[index];
     if (instance.life != life)
       return;
--- a/packages/grants/key_planner_test.cc
+++ b/packages/grants/key_planner_test.cc
@@ -20,6 +20,7 @@
 
 std::vector<KeyOwnerCandidate> Candidates(int count) {
   std::vector<KeyOwnerCandidate> candidates;
+  candidates.reserve(static_cast<std::size_t>(count));
   for (int index = 0; index < count; ++index) {
     candidates.push_back(
         {{"u" + std::to_string(index), std::chrono::milliseconds(1)}, 2});
@@ -149,6 +150,7 @@
   std::size_t moves = 0;
   for (auto time = 100ms; time <= 5000ms; time += 100ms) {
     std::vector<KeyNumber> keys;
+    keys.reserve(10);
     for (int request = 0; request < 10; ++request)
       keys.push_back(static_cast<KeyNumber>(any(random)));
     service.Run(table, keys, At(time));
