--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -50,6 +50,8 @@
       return "done";
     case KeyCallResult::kFenced:
       return "fenced";
+    case KeyCallResult::kReplaced:
+      return "replaced";
     case KeyCallResult::kRejected:
       return "rejected";
     case KeyCallResult::kUnreachable:
--- a/packages/grants/duty_call.h
+++ b/packages/grants/duty_call.h
@@ -39,6 +39,8 @@
   kDone,
   // The upstream has seen a higher token.
   kFenced,
+  // Another upstream answers at the address: the life that was meant has ended.
+  kReplaced,
   // The upstream answered with another failure; nothing was granted.
   kRejected,
   // Nothing was sent: the connection was refused or could not be opened.
--- a/packages/grants/duty_times.h
+++ b/packages/grants/duty_times.h
@@ -16,7 +16,7 @@
   std::chrono::nanoseconds hold = std::chrono::milliseconds(4000);
   std::chrono::nanoseconds renew_every = std::chrono::milliseconds(1300);
   // An instance grants only for this long after the store has proved its term.
-  std::chrono::nanoseconds term_lapse = std::chrono::milliseconds(6000);
+  std::chrono::nanoseconds term_lapse = std::chrono::milliseconds(4500);
   // A call to an upstream without an answer is given up after this.
   std::chrono::nanoseconds call_timeout = std::chrono::milliseconds(800);
   // An upstream's clock may run this much slow, by the platform's bound; used
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -26,7 +26,7 @@
 // done so for the patience of the turn's owner is taken to be lost; a live one
 // hears within a second that its turn has passed on.
 constexpr milliseconds kKeepInterval{1000};
-constexpr milliseconds kHolderPatience{2600};
+constexpr milliseconds kHolderPatience{1900};
 // Failed calls in a row after which an upstream gets no keys for a while.
 constexpr std::uint32_t kMaxFailures = 2;
 constexpr milliseconds kAvoidPause{4000};
@@ -294,6 +294,8 @@
 void GrantDuty::OnFleet(const Fleet& fleet,
                         const RoutePlan& plan,
                         BootTime now) {
+  for (const auto& [name, upstream] : fleet_)
+    unlisted_.insert_or_assign(name, upstream);
   fleet_ = fleet.upstreams();
   for (const auto& [name, policy] : plan.services)
     services_[name].owns_keys = policy.owns_keys;
@@ -329,6 +331,10 @@
   const BootTime end = now + options_.times.Stretched(call.hold);
   const bool sent = result != KeyCallResult::kUnreachable;
   ServiceState& state = services_[call.service];
+  if (result == KeyCallResult::kReplaced) {
+    OnLifeEnded(state, call.upstream);
+    state.avoided[call.upstream.name] = now + kAvoidPause;
+  }
   for (RowState& row : state.rows) {
     if (!row.row.keys.Overlaps(call.keys))
       continue;
@@ -374,6 +380,17 @@
   }
 }
 
+void GrantDuty::OnLifeEnded(ServiceState& state, const UpstreamLife& life) {
+  for (RowState& row : state.rows) {
+    if (row.row.owner == life)
+      row.owner_hold.OnLifeEnded();
+    if (row.row.former && row.row.former->upstream == life) {
+      row.former_hold.OnLifeEnded();
+      row.release_call.reset();
+    }
+  }
+}
+
 bool GrantDuty::IsActive(BootTime now) const {
   return holder_ && now < confirmed_at_ + options_.times.term_lapse;
 }
@@ -447,6 +464,16 @@
   return &at->second;
 }
 
+const ListedUpstream* GrantDuty::FindFormerLife(
+    const UpstreamLife& life) const {
+  if (const ListedUpstream* listed = FindLife(life))
+    return listed;
+  const auto at = unlisted_.find(life.name);
+  if (at == unlisted_.end() || at->second.born != life.born)
+    return nullptr;
+  return &at->second;
+}
+
 void GrantDuty::PollRows(const std::string& service,
                          ServiceState& state,
                          BootTime now,
@@ -472,7 +499,8 @@
   if (row.row.former && !row.released && !row.release_call &&
       now >= row.next_release && now < row.former_hold.end() &&
       !row.former_hold.HasCallPending()) {
-    const ListedUpstream* former = FindLife(row.row.former->upstream);
+    // One that is gone may have left its address to another, which proves it.
+    const ListedUpstream* former = FindFormerLife(row.row.former->upstream);
     if (former != nullptr) {
       KeyCall call;
       call.kind = KeyCall::Kind::kRelease;
--- a/packages/grants/grant_duty.h
+++ b/packages/grants/grant_duty.h
@@ -37,7 +37,8 @@
 //   resigned or was an earlier life of the same instance, but inherits the wait
 //   of that one.
 // - Keys go to a new owner when the former one has released them, or when its
-//   hold is over, and no grant without an answer can still take effect at it.
+//   hold is over, and no grant without an answer can still take effect at it;
+//   or when another upstream answers at its address.
 //
 // The turn only says who takes over when the holder is lost. A holder whose
 // turn passes on keeps the duty, and appends its term again and again to show
@@ -190,9 +191,14 @@
   // Whether the keys of a moving row may be given to yet another owner.
   bool MayReplan(const RowState& row, BootTime now) const;
   const ListedUpstream* FindLife(const UpstreamLife& life) const;
+  // As FindLife(), also for an upstream that is no longer listed.
+  const ListedUpstream* FindFormerLife(const UpstreamLife& life) const;
+  void OnLifeEnded(ServiceState& state, const UpstreamLife& life);
 
   const Options options_;
   std::map<std::string, ListedUpstream, std::less<>> fleet_;
+  // The last entries of upstreams that were listed once.
+  std::map<std::string, ListedUpstream, std::less<>> unlisted_;
   std::map<std::string, ServiceState, std::less<>> services_;
 
   // What the log says.
--- a/packages/grants/hold_state.h
+++ b/packages/grants/hold_state.h
@@ -27,6 +27,8 @@
   }
   void OnNotSent() { pending_ = false; }
   void OnReleased() { held_until_ = {}; }
+  // The upstream does not exist any more, so that no grant can be in effect.
+  void OnLifeEnded() { *this = {}; }
   // Counts grants that another instance may have sent.
   void AssumeHeldUntil(BootTime end) {
     unanswered_until_ = std::max(unanswered_until_, end);
