--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -18,11 +18,11 @@
 // not pass because one join was late, so several fit into it.
 constexpr milliseconds kJoinInterval{800};
 constexpr milliseconds kRetryPause{300};
-// The holder's readings of the log wait for news and prove its term, so that
-// they are short. The others hear of changes from the holder, and read the log
-// now and then to find what they missed: store calls are billed.
-constexpr milliseconds kHolderWait{1000};
-constexpr milliseconds kFollowerPause{500};
+// The holder's readings of the log prove its term, and the owner of the turn
+// watches whether the holder lives. The others hear of changes from the holder,
+// and read the log only when they miss some: store calls are billed.
+constexpr milliseconds kWatchPause{700};
+constexpr milliseconds kFollowerPause{1000};
 constexpr std::chrono::seconds kRelayedPause{10};
 // A report without load is sent this rarely, to stay among the receivers of
 // news.
@@ -193,7 +193,7 @@
       duty_.OnNewestRecords(ToRecords(batch.value()), batch.value().end,
                             BootClock::now());
       OnChange();
-      Follow();
+      ScheduleRead();
       return;
     }
     read_timer_.expires_after(kRetryPause);
@@ -204,38 +204,17 @@
   });
 }
 
-void KeyDutyDriver::Follow() {
-  const BootTime sent_at = BootClock::now();
-  const milliseconds wait =
-      duty_.IsHolder() && !duty_.NeedsLog() ? kHolderWait : milliseconds(0);
-  log_.Follow(
-      duty_.next_offset(), wait, [this, sent_at](Result<DutyLog::Batch> batch) {
-        if (batch && batch.value().forgotten) {
-          ReadNewest();
-          return;
-        }
-        if (batch) {
-          duty_.OnLog(ToRecords(batch.value()), batch.value().end, sent_at,
-                      BootClock::now());
-          OnChange();
-          Poll();
-          if (duty_.IsHolder()) {
-            Follow();
-            return;
-          }
-        }
-        std::chrono::milliseconds pause = kRetryPause;
-        if (batch) {
-          // The owner of the turn watches whether the holder lives.
-          pause =
-              relayed_ && !duty_.IsTurnOwner() ? kRelayedPause : kFollowerPause;
-        }
-        read_timer_.expires_after(pause);
-        read_timer_.async_wait([this](boost::system::error_code error) {
-          if (!error)
-            Follow();
-        });
-      });
+void KeyDutyDriver::ScheduleRead() {
+  std::chrono::milliseconds pause = kFollowerPause;
+  if (duty_.IsHolder() || duty_.IsTurnOwner())
+    pause = kWatchPause;
+  else if (relayed_)
+    pause = kRelayedPause;
+  read_timer_.expires_after(pause);
+  read_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      ReadNow();
+  });
 }
 
 void KeyDutyDriver::ReadNow() {
@@ -243,25 +222,32 @@
     return;
   reading_now_ = true;
   const BootTime sent_at = BootClock::now();
-  log_.Read(duty_.next_offset(), [this, sent_at](Result<DutyLog::Batch> batch) {
+  const bool in_order =
+      duty_.IsHolder() || duty_.IsTurnOwner() || duty_.NeedsLog();
+  const auto handle = [this, sent_at,
+                       in_order](const Result<DutyLog::Batch>& batch) {
     reading_now_ = false;
-    if (!batch || batch.value().forgotten)
+    ScheduleRead();
+    if (!batch)
+      return;
+    if (batch.value().forgotten) {
+      ReadNewest();
       return;
-    duty_.OnLog(ToRecords(batch.value()), batch.value().end, sent_at,
-                BootClock::now());
+    }
+    const BootTime now = BootClock::now();
+    const auto records = ToRecords(batch.value());
+    if (in_order)
+      duty_.OnLog(records, batch.value().end, sent_at, now);
+    else
+      duty_.OnNewestRecords(records, batch.value().end, now);
     OnChange();
     Poll();
-  });
-  // Without news from the holder, the readings go on at their own pace.
-  if ((!relayed_ || duty_.IsTurnOwner()) && !duty_.IsHolder() &&
-      read_timer_.expiry() >
-          std::chrono::steady_clock::now() + kFollowerPause) {
-    read_timer_.expires_after(kFollowerPause);
-    read_timer_.async_wait([this](boost::system::error_code error) {
-      if (!error)
-        Follow();
-    });
-  }
+  };
+  // An instance that only routes needs the newest table, not all between.
+  if (in_order)
+    log_.Read(duty_.next_offset(), handle);
+  else
+    log_.ReadNewest(handle);
 }
 
 void KeyDutyDriver::SchedulePoll() {
@@ -300,8 +286,7 @@
     was_holder_ = holder;
     if (holder) {
       SchedulePoll();
-      read_timer_.cancel();
-      Follow();
+      ScheduleRead();
     }
     EventLog::Write(
         holder ? kDutyTaken : kDutyEnded,
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -76,7 +76,7 @@
 
   void Join();
   void ReadNewest();
-  void Follow();
+  void ScheduleRead();
   void ReadNow();
   void Poll();
   void SchedulePoll();
--- a/packages/grants/duty_log.h
+++ b/packages/grants/duty_log.h
@@ -41,11 +41,7 @@
 
   // The newest record of each key.
   virtual void ReadNewest(BatchHandler handler) = 0;
-  // The records from `from` on; waits for one for at most `wait`.
-  virtual void Follow(std::uint64_t from,
-                      std::chrono::milliseconds wait,
-                      BatchHandler handler) = 0;
-  // As Follow() without a wait; both may be open at one time.
+  // The records from `from` on.
   virtual void Read(std::uint64_t from, BatchHandler handler) = 0;
   virtual void Append(const DutyAppend& append,
                       std::function<void(DutyAppendResult)> handler) = 0;
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -27,6 +27,10 @@
 // hears within a second that its turn has passed on.
 constexpr milliseconds kKeepInterval{1000};
 constexpr milliseconds kHolderPatience{1900};
+// Between changes of the tables. A record holds all rows, and every instance
+// hears of it, so that large tables change less often.
+constexpr milliseconds kChangeSpacing{20};
+constexpr std::chrono::microseconds kChangeSpacingPerRow{700};
 // Failed calls in a row after which an upstream gets no keys for a while.
 constexpr std::uint32_t kMaxFailures = 2;
 constexpr milliseconds kAvoidPause{4000};
@@ -54,15 +58,18 @@
                                 std::uint64_t end,
                                 BootTime now) {
   std::ranges::sort(records, {}, &LogRecord::offset);
+  // Pages of the newest records are no snapshot: what was appended while they
+  // were read is read again from the log, in its order.
+  bool grew = false;
   for (const LogRecord& entry : records) {
-    if (entry.offset >= next_offset_)
+    if (entry.offset >= end)
+      grew = true;
+    else if (entry.offset >= next_offset_)
       ApplyRecord(entry.offset, entry.record, now);
   }
-  // Pages of the newest records are no snapshot: what was appended while they
-  // were read is read again from the log.
   next_offset_ = std::max(next_offset_, end);
   log_known_ = true;
-  needs_log_ = true;
+  needs_log_ = grew;
 }
 
 void GrantDuty::ApplyRecord(std::uint64_t offset,
@@ -147,6 +154,30 @@
   return std::exchange(updates_, {});
 }
 
+void GrantDuty::CarryHolds(const RowState& old, RowState& next) {
+  const FormerOwner old_owner{old.row.owner, old.row.token};
+  next.superseded = old.superseded;
+  if (next.row.former == old_owner) {
+    next.former_hold = old.owner_hold;
+    return;
+  }
+  if (old.row.former && next.row.former == old.row.former) {
+    next.former_hold = old.former_hold;
+    next.released = old.released;
+    next.handover = old.handover;
+  }
+  if (old.grant_sent)
+    next.superseded.push_back({old_owner, old.owner_hold});
+}
+
+bool GrantDuty::IsFree(const RowState& row, BootTime now) {
+  return (!row.row.former || now >= row.former_hold.end()) &&
+         std::ranges::all_of(row.superseded,
+                             [now](const SupersededOwner& superseded) {
+                               return now >= superseded.hold.end();
+                             });
+}
+
 void GrantDuty::CarryRows(ServiceState& state, const KeyTable& table) const {
   std::vector<RowState> rows;
   rows.reserve(table.rows().size());
@@ -161,16 +192,7 @@
         next.row = row;
         break;
       }
-      if (!row.former)
-        break;
-      const FormerOwner old_owner{old.row.owner, old.row.token};
-      if (*row.former == old_owner) {
-        next.former_hold = old.owner_hold;
-      } else if (old.row.former == row.former) {
-        next.former_hold = old.former_hold;
-        next.released = old.released;
-        next.handover = old.handover;
-      }
+      CarryHolds(old, next);
       break;
     }
     rows.push_back(std::move(next));
@@ -200,6 +222,10 @@
     for (const RowState& row : state.rows) {
       unanswered = std::max({unanswered, row.owner_hold.unanswered_end(),
                              row.former_hold.unanswered_end()});
+      // The log does not name these, so that a successor cannot have them
+      // release the keys.
+      for (const SupersededOwner& superseded : row.superseded)
+        unanswered = std::max(unanswered, superseded.hold.end());
     }
   }
   return {options_.instance,
@@ -355,17 +381,23 @@
       }
       continue;
     }
-    if (!to_owner && !to_former)
-      continue;
-    HoldState& hold = to_owner ? row.owner_hold : row.former_hold;
-    if (result == KeyCallResult::kDone)
-      hold.OnAnswered(end);
-    else if (result == KeyCallResult::kUnknown)
-      hold.OnUnanswered(end);
-    else
-      hold.OnNotSent();
+    const auto record = [&](HoldState& hold) {
+      if (result == KeyCallResult::kDone)
+        hold.OnAnswered(end);
+      else if (result == KeyCallResult::kUnknown)
+        hold.OnUnanswered(end);
+      else
+        hold.OnNotSent();
+    };
+    for (SupersededOwner& superseded : row.superseded) {
+      if (superseded.owner == FormerOwner{call.upstream, call.token})
+        record(superseded.hold);
+    }
+    if (to_former)
+      record(row.former_hold);
     if (!to_owner)
       continue;
+    record(row.owner_hold);
     row.grant_sent |= sent;
     if (result == KeyCallResult::kDone) {
       row.granted = true;
@@ -388,6 +420,10 @@
       row.former_hold.OnLifeEnded();
       row.release_call.reset();
     }
+    for (SupersededOwner& superseded : row.superseded) {
+      if (superseded.owner.upstream == life)
+        superseded.hold.OnLifeEnded();
+    }
   }
 }
 
@@ -436,11 +472,14 @@
   }
   DutyAppend append;
   append.at = next_offset_;
+  const bool may_change = may_append && now >= next_change_;
+  std::size_t row_count = 0;
   for (auto& [service, state] : services_) {
     if (!state.owns_keys)
       continue;
     PollRows(service, state, now, actions);
-    if (!may_append)
+    row_count += state.rows.size();
+    if (!may_change)
       continue;
     const std::uint64_t token = append.at + append.records.size();
     if (const auto table = PlanTable(service, state, token, now))
@@ -451,6 +490,8 @@
       append.records.push_back(EncodeDutyRecord(*reminder));
   }
   if (!append.records.empty()) {
+    next_change_ = now + kChangeSpacing +
+                   kChangeSpacingPerRow * static_cast<std::int64_t>(row_count);
     append_ = std::move(append);
     actions.append = append_;
   }
@@ -516,7 +557,7 @@
       actions.calls.push_back(std::move(call));
     }
   }
-  const bool free = !row.row.former || now >= row.former_hold.end();
+  const bool free = IsFree(row, now);
   const ListedUpstream* owner = FindLife(row.row.owner);
   if (free && !row.release_call && owner != nullptr && !row.granted &&
       now >= row.next_grant && !row.owner_hold.HasCallPending())
--- a/packages/grants/grant_duty.h
+++ b/packages/grants/grant_duty.h
@@ -115,11 +115,20 @@
   BootTime changes_from() const { return changes_from_; }
 
  private:
+  // An owner that was granted the keys before its assignment was replaced by
+  // one that does not name it: by a record that was planned, or whose append
+  // was thought to be lost, before the grant.
+  struct SupersededOwner {
+    FormerOwner owner;
+    HoldState hold;
+  };
   // What the holder knows about one row.
   struct RowState {
     KeyAssignment row;
     HoldState owner_hold;
     HoldState former_hold;
+    // All of them must have lost the keys before the owner gets them.
+    std::vector<SupersededOwner> superseded;
     // The former owner released the keys.
     bool released = false;
     std::string handover;
@@ -151,6 +160,9 @@
                    BootTime now);
   void ApplyTerm(std::uint64_t offset, const TermRecord& term, BootTime now);
   void ApplyTable(std::uint64_t offset, const TableRecord& record);
+  // Whether nobody but the owner of a moving row can use its keys.
+  static bool IsFree(const RowState& row, BootTime now);
+  static void CarryHolds(const RowState& old, RowState& next);
   // Builds the row states of a table that replaces another one.
   void CarryRows(ServiceState& state, const KeyTable& table) const;
   void BecomeHolder(const std::optional<TermRecord>& former,
@@ -227,6 +239,7 @@
   // The append without an answer.
   std::optional<DutyAppend> append_;
   BootTime next_append_{};
+  BootTime next_change_{};
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, OpenCall> calls_;
 };
