--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "base/socket_address.h"
 #include "entry/entry_events.h"
+#include "entry/socket_options.h"
 
 namespace pollenrudder {
 namespace {
@@ -89,22 +89,9 @@
 EntryInstance::~EntryInstance() = default;
 
 Result<void> EntryInstance::Listen() {
-  const auto endpoint = EndpointOf(settings_.caller_address);
-  boost::system::error_code error;
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true),
-                         error);
-  }
-  if (!error)
-    acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return MakeError(ErrorKind::kInvalidSettings, "cannot listen on " +
-                                                      settings_.caller_address +
-                                                      ": " + error.message());
-  }
+  const auto listening = ListenOn(acceptor_, settings_.caller_address);
+  if (!listening)
+    return listening.error();
   const auto answer = [this](std::string_view path) {
     return AnswerProbe(path);
   };
--- a/packages/entry/probe_server.cc
+++ b/packages/entry/probe_server.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include "base/socket_address.h"
 #include "entry/socket_options.h"
 #include "http/http_parser.h"
 
@@ -81,23 +80,10 @@
     boost::asio::io_context& io,
     const std::string& address,
     Handler handler) {
-  const auto endpoint = EndpointOf(address);
   std::unique_ptr<ProbeServer> server(new ProbeServer(io, std::move(handler)));
-  boost::system::error_code error;
-  server->acceptor_.open(endpoint.protocol(), error);
-  if (!error) {
-    server->acceptor_.set_option(
-        boost::asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error)
-    server->acceptor_.bind(endpoint, error);
-  if (!error)
-    server->acceptor_.listen(boost::asio::socket_base::max_listen_connections,
-                             error);
-  if (error) {
-    return MakeError(ErrorKind::kInvalidSettings,
-                     "cannot listen on " + address + ": " + error.message());
-  }
+  const auto listening = ListenOn(server->acceptor_, address);
+  if (!listening)
+    return listening.error();
   server->Accept();
   return server;
 }
