Read a new configuration once a zone, and pass it on

Now the holder of the duty names a source for each zone; the others fetch the document from it, compressed. Ruled out: compression at the store (it offers none); the holder serving all (its link may be 10 Mbit/s).

--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -62,6 +62,10 @@
 inline constexpr LogEvent kNewsRelayed{9021, "news_relayed", LogLevel::kInfo};
 // The holder has fallen silent, so that this instance reads by itself.
 inline constexpr LogEvent kNewsSilent{9022, "news_silent", LogLevel::kInfo};
+// A new configuration could not be fetched from the source of the zone; it is
+// read from the store.
+inline constexpr LogEvent kPlanNotFetched{9023, "plan_not_fetched",
+                                          LogLevel::kInfo};
 
 }  // namespace pollenrudder
 
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -79,9 +79,16 @@
       settings_(settings),
       metrics_(Metrics::Create()),
       forwarder_(io, protocol, *metrics_, ForwarderOptions(settings)),
-      duty_(io, DutyOptions(settings), log, protocol, *metrics_, *this),
+      duty_(io,
+            DutyOptions(settings),
+            settings.zone,
+            log,
+            protocol,
+            *metrics_,
+            *this),
       acceptor_(io),
       relay_(io, settings.list_interval, *this),
+      plan_relay_(io, *this),
       housekeeping_timer_(io),
       removal_timer_(io),
       leave_timer_(io) {}
@@ -105,6 +112,13 @@
       return metrics.error();
     metrics_server_ = std::move(metrics.value());
   }
+  // Datagrams and connections of other instances come to one port.
+  auto plans = ProbeServer::Listen(
+      io_, settings_.report_address,
+      [this](std::string_view path) { return plan_relay_.Answer(path); });
+  if (!plans)
+    return plans.error();
+  plan_server_ = std::move(plans.value());
   auto channel = InstanceChannel::Open(io_, settings_.report_address, *this);
   if (!channel)
     return channel.error();
@@ -137,11 +151,13 @@
   });
 }
 
-void EntryInstance::OnPlan(std::shared_ptr<const RoutePlan> plan) {
+void EntryInstance::OnPlan(std::shared_ptr<const RoutePlan> plan,
+                           std::shared_ptr<const PlanDocument> document) {
   // Readings of the store may arrive out of order; a version never reverts.
   if (plan_ && plan->version <= plan_->version)
     return;
   plan_ = std::move(plan);
+  plan_relay_.Keep(std::move(document));
   EventLog::Write(kPlanInForce, {{"plan", plan_->version},
                                  {"routes", plan_->route_count()},
                                  {"services", plan_->services.size()}});
@@ -196,13 +212,26 @@
 }
 
 void EntryInstance::SendNews() {
-  duty_.SendToReporters(
-      relay_.MakeNews(plan_ ? plan_->version : 0, duty_.duty().last_change()));
+  if (duty_.duty().IsHolder())
+    duty_.SendToReporters(MakeNews());
+}
+
+RelayedNews EntryInstance::MakeNews() const {
+  RelayedNews news =
+      relay_.MakeNews(plan_ ? plan_->version : 0, duty_.duty().last_change());
+  if (plan_relay_.IsKept()) {
+    news.plan_sources = duty_.OneReporterPerZone(news.plan_version);
+    news.plan_sources[settings_.zone] = settings_.report_address;
+  }
+  return news;
 }
 
 void EntryInstance::OnReport(const LoadReport& report,
                              const std::string& sender) {
-  duty_.OnLoad(report, sender);
+  const bool is_new = duty_.OnLoad(report, sender);
+  // It reads the store by itself until it hears from the holder.
+  if (is_new && duty_.duty().IsHolder())
+    channel_->Send(sender, MakeNews());
 }
 
 void EntryInstance::OnUpdate(const TableUpdate& update) {
@@ -221,6 +250,24 @@
   ApplyChanges(changes);
 }
 
+void EntryInstance::OnNewerPlan(const RelayedNews& news) {
+  const auto source = news.plan_sources.find(settings_.zone);
+  if (source == news.plan_sources.end() ||
+      source->second == settings_.report_address) {
+    feeds_->ReadPlanNow();
+    return;
+  }
+  plan_relay_.Fetch(news.plan_version, source->second);
+}
+
+void EntryInstance::OnFetchedPlan(const PlanDocument& document) {
+  feeds_->TakePlan(document);
+}
+
+void EntryInstance::OnPlanNotFetched() {
+  feeds_->ReadPlanNow();
+}
+
 void EntryInstance::OnRelayed(bool relayed) {
   EventLog::Write(relayed ? kNewsRelayed : kNewsSilent, {});
   duty_.SetRelayed(relayed);
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -22,6 +22,7 @@
 #include "entry/instance_channel.h"
 #include "entry/key_duty_driver.h"
 #include "entry/news_relay.h"
+#include "entry/plan_relay.h"
 #include "entry/probe_server.h"
 #include "entry/upstream_protocol.h"
 #include "fleet/feed_control.h"
@@ -44,7 +45,8 @@
                       private CallerLinkOwner,
                       private KeyDutyDriver::Observer,
                       private InstanceChannel::Listener,
-                      private NewsRelay::Observer {
+                      private NewsRelay::Observer,
+                      private PlanRelay::Observer {
  public:
   // The arguments must outlive the instance.
   static Result<std::unique_ptr<EntryInstance>> Start(
@@ -55,13 +57,17 @@
   ~EntryInstance() override;
 
   // The platform's readers; `feeds` must outlive the instance's event loop.
-  void SetFeeds(FeedControl& feeds) { relay_.SetFeeds(feeds); }
+  void SetFeeds(FeedControl& feeds) {
+    feeds_ = &feeds;
+    relay_.SetFeeds(feeds);
+  }
   void Leave();
   // Whether callers are to be sent here.
   bool IsReady() const { return forwarder_.plan() != nullptr && !leaving_; }
 
   // FleetObserver:
-  void OnPlan(std::shared_ptr<const RoutePlan> plan) override;
+  void OnPlan(std::shared_ptr<const RoutePlan> plan,
+              std::shared_ptr<const PlanDocument> document) override;
   void OnFleetChanges(std::uint64_t from,
                       std::uint64_t to,
                       const std::vector<FleetChange>& changes) override;
@@ -83,6 +89,7 @@
       const std::vector<FleetChange>& changes);
   void OnFleetNews();
   void SendNews();
+  RelayedNews MakeNews() const;
   void ScheduleHousekeeping();
   void ScheduleRemovals();
   void CheckLeft();
@@ -110,8 +117,13 @@
 
   // NewsRelay::Observer:
   void OnRelayedChanges(const std::vector<FleetChange>& changes) override;
+  void OnNewerPlan(const RelayedNews& news) override;
   void OnRelayed(bool relayed) override;
 
+  // PlanRelay::Observer:
+  void OnFetchedPlan(const PlanDocument& document) override;
+  void OnPlanNotFetched() override;
+
   boost::asio::io_context& io_;
   const EntrySettings settings_;
   const std::unique_ptr<Metrics> metrics_;
@@ -124,8 +136,12 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::unique_ptr<ProbeServer> probe_;
   std::unique_ptr<ProbeServer> metrics_server_;
+  // What other instances of the zone ask for.
+  std::unique_ptr<ProbeServer> plan_server_;
   std::unique_ptr<InstanceChannel> channel_;
   NewsRelay relay_;
+  PlanRelay plan_relay_;
+  FeedControl* feeds_ = nullptr;
   std::unordered_set<std::shared_ptr<CallerLink>> links_;
   boost::asio::steady_timer housekeeping_timer_;
   boost::asio::steady_timer removal_timer_;
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -24,8 +24,8 @@
 constexpr milliseconds kWatchPause{700};
 constexpr milliseconds kFollowerPause{1000};
 constexpr std::chrono::seconds kRelayedPause{10};
-// A report without load is sent this rarely, to stay among the receivers of
-// news.
+// So many reports without load are left out between two that are sent to stay
+// among the receivers of news.
 constexpr int kEmptyReportsLeftOut = 2;
 // Instances whose reports have not come for this long get no updates.
 constexpr std::chrono::seconds kReporterLife{5};
@@ -66,6 +66,7 @@
 
 KeyDutyDriver::KeyDutyDriver(boost::asio::io_context& io,
                              const GrantDuty::Options& options,
+                             const std::string& zone,
                              DutyLog& log,
                              const UpstreamProtocol& protocol,
                              Metrics& metrics,
@@ -73,6 +74,7 @@
     : io_(io),
       duty_(options),
       instance_(options.instance),
+      zone_(zone),
       times_(options.times),
       log_(log),
       protocol_(protocol),
@@ -92,6 +94,10 @@
     link->Abort();
 }
 
+bool KeyDutyDriver::Reporter::IsAlive(BootTime now) const {
+  return now < last_report + kReporterLife;
+}
+
 void KeyDutyDriver::Start(InstanceChannel& channel) {
   channel_ = &channel;
   Join();
@@ -111,11 +117,14 @@
     log_.Leave();
 }
 
-void KeyDutyDriver::OnLoad(const LoadReport& report,
+bool KeyDutyDriver::OnLoad(const LoadReport& report,
                            const std::string& sender) {
   const BootTime now = BootClock::now();
-  reporters_[sender] = now;
+  Reporter& reporter = reporters_[sender];
+  const bool is_new = !reporter.IsAlive(now);
+  reporter = {now, report.zone};
   duty_.OnLoad(report, now);
+  return is_new;
 }
 
 void KeyDutyDriver::OnUpdate(const TableUpdate& update) {
@@ -141,12 +150,26 @@
   if (!duty_.IsHolder())
     return;
   const BootTime now = BootClock::now();
-  for (const auto& [address, time] : reporters_) {
-    if (now < time + kReporterLife)
+  for (const auto& [address, reporter] : reporters_) {
+    if (reporter.IsAlive(now))
       channel_->Send(address, news);
   }
 }
 
+std::map<std::string, std::string, std::less<>>
+KeyDutyDriver::OneReporterPerZone(std::uint64_t turn) const {
+  const BootTime now = BootClock::now();
+  std::map<std::string, std::vector<std::string>, std::less<>> by_zone;
+  for (const auto& [address, reporter] : reporters_) {
+    if (reporter.IsAlive(now))
+      by_zone[reporter.zone].push_back(address);
+  }
+  std::map<std::string, std::string, std::less<>> chosen;
+  for (const auto& [zone, addresses] : by_zone)
+    chosen[zone] = addresses[turn % addresses.size()];
+  return chosen;
+}
+
 void KeyDutyDriver::OnFleet(const Fleet& fleet, const RoutePlan& plan) {
   duty_.OnFleet(fleet, plan, BootClock::now());
   std::erase_if(channels_, [&](const auto& entry) {
@@ -317,8 +340,8 @@
     observer_.OnKeysChanged(duty_);
   }
   for (const TableUpdate& update : duty_.TakeUpdates()) {
-    for (const auto& [address, time] : reporters_) {
-      if (now < time + kReporterLife)
+    for (const auto& [address, reporter] : reporters_) {
+      if (reporter.IsAlive(now))
         channel_->Send(address, update);
     }
   }
@@ -331,8 +354,10 @@
     if (error)
       return;
     SendLoad();
-    LoadReport report{instance_, observer_.TakeLoad()};
-    if (report.services.empty() && ++empty_reports_ <= kEmptyReportsLeftOut)
+    LoadReport report{instance_, zone_, observer_.TakeLoad()};
+    // Without news, the first report is what makes the holder send them.
+    if (report.services.empty() && relayed_ &&
+        ++empty_reports_ <= kEmptyReportsLeftOut)
       return;
     empty_reports_ = 0;
     if (duty_.IsHolder())
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -38,9 +38,11 @@
     virtual std::map<std::string, ServiceLoad, std::less<>> TakeLoad() = 0;
   };
 
-  // The arguments must outlive the driver.
+  // `zone` is the availability zone of this instance. The other arguments but
+  // `options` must outlive the driver.
   KeyDutyDriver(boost::asio::io_context& io,
                 const GrantDuty::Options& options,
+                const std::string& zone,
                 DutyLog& log,
                 const UpstreamProtocol& protocol,
                 Metrics& metrics,
@@ -49,8 +51,9 @@
 
   // `channel` must outlive the driver.
   void Start(InstanceChannel& channel);
-  // `sender` is the "ip:port" of the instance that sent it.
-  void OnLoad(const LoadReport& report, const std::string& sender);
+  // `sender` is the "ip:port" of the instance that sent it. Returns whether it
+  // has not reported lately.
+  bool OnLoad(const LoadReport& report, const std::string& sender);
   void OnUpdate(const TableUpdate& update);
   void OnFleet(const Fleet& fleet, const RoutePlan& plan);
   // While the holder's news arrive, the log is read only when they say so.
@@ -59,6 +62,10 @@
   void OnLogGrown(std::uint64_t offset);
   // The instances that report to this one, if it is the holder.
   void SendToReporters(const RelayedNews& news);
+  // One of the instances that report, for each availability zone: "ip:port".
+  // `turn` spreads the choice over the instances of a zone.
+  std::map<std::string, std::string, std::less<>> OneReporterPerZone(
+      std::uint64_t turn) const;
   // Hands the duty to another instance.
   void Stop();
   bool IsStopped() const { return duty_.IsStopped(); }
@@ -74,6 +81,13 @@
     bool busy = false;
   };
 
+  struct Reporter {
+    BootTime last_report;
+    std::string zone;
+
+    bool IsAlive(BootTime now) const;
+  };
+
   void Join();
   void ReadNewest();
   void ScheduleRead();
@@ -91,6 +105,7 @@
   boost::asio::io_context& io_;
   GrantDuty duty_;
   const std::string instance_;
+  const std::string zone_;
   const DutyTimes times_;
   DutyLog& log_;
   const UpstreamProtocol& protocol_;
@@ -103,8 +118,8 @@
   boost::asio::steady_timer load_timer_;
   std::map<std::string, Channel, std::less<>> channels_;
   std::map<std::uint64_t, std::shared_ptr<HttpLink>> releases_;
-  // Where the reports come from, and when the last one came.
-  std::map<std::string, BootTime, std::less<>> reporters_;
+  // The instances that report, by "ip:port".
+  std::map<std::string, Reporter, std::less<>> reporters_;
   std::uint64_t seen_version_ = 0;
   std::uint32_t instances_ = 1;
   bool was_holder_ = false;
--- a/packages/entry/news_relay.cc
+++ b/packages/entry/news_relay.cc
@@ -56,7 +56,7 @@
     feeds_->AdvanceList(news.list_to);
   }
   if (news.plan_version > own_plan_version)
-    feeds_->ReadPlanNow();
+    observer_.OnNewerPlan(news);
   WatchForSilence();
   if (relayed_)
     return;
--- a/packages/entry/news_relay.h
+++ b/packages/entry/news_relay.h
@@ -27,6 +27,8 @@
    public:
     virtual ~Observer() = default;
     virtual void OnRelayedChanges(const std::vector<FleetChange>& changes) = 0;
+    // There is a configuration that this instance does not have.
+    virtual void OnNewerPlan(const RelayedNews& news) = 0;
     // Whether news arrive, which may have changed.
     virtual void OnRelayed(bool relayed) = 0;
   };
--- /dev/null
+++ b/packages/entry/plan_relay_test.cc
@@ -0,0 +1,136 @@
+// Tests of the relay of configurations over loopback connections.
+
+#include "entry/plan_relay.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "base/socket_address.h"
+#include "entry/probe_server.h"
+
+namespace pollenrudder {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string FreeAddress(boost::asio::io_context& io) {
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  return SocketAddressText(acceptor.local_endpoint());
+}
+
+struct Receiver : PlanRelay::Observer {
+  explicit Receiver(boost::asio::io_context& io) : relay(io, *this) {}
+
+  void OnFetchedPlan(const PlanDocument& document) override {
+    fetched = document;
+  }
+  void OnPlanNotFetched() override { ++missed; }
+
+  std::optional<PlanDocument> fetched;
+  int missed = 0;
+  PlanRelay relay;
+};
+
+struct Zone {
+  Zone() : source(io), receiver(io) {}
+
+  // Starts to serve what the source keeps.
+  void Listen() {
+    auto listening =
+        ProbeServer::Listen(io, address, [this](std::string_view path) {
+          ++asked;
+          return source.relay.Answer(path);
+        });
+    REQUIRE(listening);
+    server = std::move(listening.value());
+  }
+
+  void Keep(std::uint64_t version, std::string text) {
+    source.relay.Keep(std::make_shared<const PlanDocument>(
+        PlanDocument{version, 100 + version, std::move(text)}));
+  }
+
+  bool RunUntil(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (!done() && std::chrono::steady_clock::now() < end)
+      io.run_one_for(20ms);
+    return done();
+  }
+
+  boost::asio::io_context io{1};
+  const std::string address = FreeAddress(io);
+  Receiver source;
+  Receiver receiver;
+  std::unique_ptr<ProbeServer> server;
+  int asked = 0;
+};
+
+// Answers to the pattern of a configuration of more than a thousand routes that
+// a whole zone needs at once.
+TEST_CASE("A large configuration comes whole from the source of the zone") {
+  Zone zone;
+  zone.Listen();
+  const std::string text(1500000, 'r');
+  zone.Keep(7, text);
+  zone.receiver.relay.Fetch(7, zone.address);
+  REQUIRE(zone.RunUntil([&] { return zone.receiver.fetched.has_value(); }));
+  CHECK(zone.receiver.fetched->version == 7);
+  CHECK(zone.receiver.fetched->position == 107);
+  CHECK(zone.receiver.fetched->text == text);
+  CHECK(zone.receiver.missed == 0);
+}
+
+// The source hears of a version at the moment at which the others do.
+TEST_CASE("A configuration that the source does not have yet is awaited") {
+  Zone zone;
+  zone.Listen();
+  zone.Keep(6, "old");
+  zone.receiver.relay.Fetch(7, zone.address);
+  REQUIRE(zone.RunUntil([&] { return zone.asked >= 2; }));
+  CHECK_FALSE(zone.receiver.fetched);
+  zone.Keep(8, "new");
+  REQUIRE(zone.RunUntil([&] { return zone.receiver.fetched.has_value(); }));
+  CHECK(zone.receiver.fetched->text == "new");
+}
+
+// Guards against a version that is late since its source was lost.
+TEST_CASE("The store is read when the source does not help within a second") {
+  Zone zone;
+  const auto began = std::chrono::steady_clock::now();
+  SECTION("it does not listen") {}
+  SECTION("it never has the version") {
+    zone.Listen();
+  }
+  SECTION("it accepts and says nothing") {
+    boost::asio::ip::tcp::acceptor silent(zone.io, EndpointOf(zone.address));
+    zone.receiver.relay.Fetch(7, zone.address);
+    REQUIRE(zone.RunUntil([&] { return zone.receiver.missed > 0; }));
+  }
+  zone.receiver.relay.Fetch(7, zone.address);
+  REQUIRE(zone.RunUntil([&] { return zone.receiver.missed > 0; }));
+  CHECK(std::chrono::steady_clock::now() - began < 1s);
+  const int missed = zone.receiver.missed;
+  // The version is not asked for again.
+  zone.receiver.relay.Fetch(7, zone.address);
+  CHECK(zone.receiver.missed == missed + 1);
+}
+
+TEST_CASE("A source answers nothing but requests for versions") {
+  Zone zone;
+  zone.Keep(7, "text");
+  CHECK(zone.source.relay.Answer("/plan/7").status == 200);
+  CHECK(zone.source.relay.Answer("/plan/6").status == 200);
+  CHECK(zone.source.relay.Answer("/plan/8").status == 503);
+  CHECK(zone.source.relay.Answer("/plan/").status == 503);
+  CHECK(zone.source.relay.Answer("/").status == 503);
+  CHECK(zone.source.relay.Answer("/plan/7x").status == 503);
+}
+
+}  // namespace
+}  // namespace pollenrudder
--- a/packages/entry/relayed_news.cc
+++ b/packages/entry/relayed_news.cc
@@ -55,9 +55,12 @@
   json::array changes;
   for (const FleetChange& change : news.changes)
     changes.push_back(EncodeChange(change));
+  json::object sources;
+  for (const auto& [zone, address] : news.plan_sources)
+    sources[zone] = address;
   return json::serialize(json::array{news.list_from, news.list_to,
                                      std::move(changes), news.plan_version,
-                                     news.duty_offset});
+                                     news.duty_offset, std::move(sources)});
 }
 
 std::optional<RelayedNews> ParseRelayedNews(std::string_view text) {
@@ -71,6 +74,8 @@
       news.changes.push_back(ParseChange(change.as_array()));
     news.plan_version = fields.at(3).to_number<std::uint64_t>();
     news.duty_offset = fields.at(4).to_number<std::uint64_t>();
+    for (const auto& [zone, address] : fields.at(5).as_object())
+      news.plan_sources[std::string(zone)] = JsonText(address);
     return news;
   } catch (const std::exception&) {
     // Boost.JSON reports a malformed datagram by an exception.
--- a/packages/entry/relayed_news.h
+++ b/packages/entry/relayed_news.h
@@ -4,6 +4,7 @@
 #define POLLENRUDDER_ENTRY_RELAYED_NEWS_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,9 @@
   std::uint64_t list_to = 0;
   std::vector<FleetChange> changes;
   std::uint64_t plan_version = 0;
+  // For some time after a new configuration: the instance of each availability
+  // zone, as "ip:port", from which the others of the zone get it.
+  std::map<std::string, std::string, std::less<>> plan_sources;
   // The offset after the last change on the log of the granting duty.
   std::uint64_t duty_offset = 0;
 };
--- a/packages/fleet/feed_control.h
+++ b/packages/fleet/feed_control.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 
+#include "fleet/plan_document.h"
+
 namespace pollenrudder {
 
 // The other side of FleetObserver. While another instance relays its news, the
@@ -20,6 +22,8 @@
   // Reads what has changed, once.
   virtual void ReadListNow() = 0;
   virtual void ReadPlanNow() = 0;
+  // Takes a configuration that another instance has read.
+  virtual void TakePlan(PlanDocument document) = 0;
   // Whether news are relayed; if not, the readers work by themselves.
   virtual void SetRelayed(bool relayed) = 0;
 };
--- a/packages/fleet/fleet_observer.h
+++ b/packages/fleet/fleet_observer.h
@@ -9,6 +9,7 @@
 
 #include "fleet/fleet_change.h"
 #include "fleet/listed_upstream.h"
+#include "fleet/plan_document.h"
 #include "fleet/route_plan.h"
 
 namespace pollenrudder {
@@ -18,8 +19,10 @@
  public:
   virtual ~FleetObserver() = default;
 
-  // May be older than one that came before; the observer ignores it then.
-  virtual void OnPlan(std::shared_ptr<const RoutePlan> plan) = 0;
+  // `document` is what the plan was decoded from. It may be older than one that
+  // came before; the observer ignores it then.
+  virtual void OnPlan(std::shared_ptr<const RoutePlan> plan,
+                      std::shared_ptr<const PlanDocument> document) = 0;
   // The changes of the list between two positions; empty if there were none.
   virtual void OnFleetChanges(std::uint64_t from,
                               std::uint64_t to,
--- a/packages/grants/key_planner.cc
+++ b/packages/grants/key_planner.cc
@@ -217,55 +217,94 @@
     std::size_t samples;
   };
 
-  // The densest range of the rows of `owner` with about `wanted` samples.
-  std::optional<Piece> DensestPiece(std::size_t owner, std::size_t wanted) {
+  // The densest range of the rows of `owner` with about `wanted` samples,
+  // without the keys of `apart`.
+  std::optional<Piece> DensestPiece(std::size_t owner,
+                                    std::size_t wanted,
+                                    std::optional<KeyRange> apart = {}) {
     std::optional<Piece> best;
     double best_density = 0;
     for (PlannedRow& row : rows_) {
-      if (row.owner != owner || row.samples.size() < kMinSamples)
+      if (row.owner != owner)
         continue;
-      const std::size_t count = std::min(wanted, row.samples.size());
-      for (std::size_t first = 0; first + count <= row.samples.size();
-           ++first) {
-        const KeyRange keys{row.samples[first], row.samples[first + count - 1]};
-        const std::size_t samples = Within(row.samples, keys).size();
-        const double density = static_cast<double>(std::min(samples, wanted)) /
-                               keys.size() * static_cast<double>(count);
-        if (!best || density > best_density) {
-          best = Piece{&row, keys, samples};
-          best_density = density;
+      for (const KeyRange& part : PartsOf(row.keys, apart)) {
+        const std::vector<KeyNumber> own = Within(row.samples, part);
+        if (own.size() < kMinSamples)
+          continue;
+        const std::size_t count = std::min(wanted, own.size());
+        for (std::size_t first = 0; first + count <= own.size(); ++first) {
+          const KeyRange keys{own[first], own[first + count - 1]};
+          const std::size_t samples = Within(own, keys).size();
+          const double density =
+              static_cast<double>(std::min(samples, wanted)) / keys.size() *
+              static_cast<double>(count);
+          if (!best || density > best_density) {
+            best = Piece{&row, keys, samples};
+            best_density = density;
+          }
         }
       }
     }
     return best;
   }
 
+  // What is left of `keys` without those of `apart`.
+  static std::vector<KeyRange> PartsOf(KeyRange keys,
+                                       std::optional<KeyRange> apart) {
+    if (!apart || !keys.Overlaps(*apart))
+      return {keys};
+    std::vector<KeyRange> parts;
+    if (apart->first > keys.first)
+      parts.push_back({keys.first, static_cast<KeyNumber>(apart->first - 1)});
+    if (apart->last < keys.last)
+      parts.push_back({static_cast<KeyNumber>(apart->last + 1), keys.last});
+    return parts;
+  }
+
+  // Moves keys from one upstream to another if that brings their loads closer.
+  bool Relieve(std::size_t from, std::size_t to) {
+    const Candidate& high = candidates_[from];
+    const Candidate& low = candidates_[to];
+    // Moving this rate makes the two equal.
+    const double rate =
+        (high.load - low.load) / (high.load_per_rate + low.load_per_rate);
+    const auto wanted = std::max(
+        kMinSamples, static_cast<std::size_t>(std::round(rate * span_)));
+    const auto is_worth_it = [&](const std::optional<Piece>& piece) {
+      return piece && low.load + LoadOf(low, piece->keys, piece->samples) <=
+                          high.load - kMinDifference / 4;
+    };
+    std::optional<Piece> piece = DensestPiece(from, wanted);
+    // A key may be too hot for any upstream: it stays, and the others go.
+    if (piece && !is_worth_it(piece))
+      piece = DensestPiece(from, wanted, piece->keys);
+    if (!is_worth_it(piece))
+      return false;
+    MovePart(*piece->row, piece->keys, to);
+    return true;
+  }
+
   void Balance() {
     const std::size_t already = moves_.size();
     const std::size_t most =
         std::max(kMaxMoves, candidates_.size() / kUpstreamsPerMove);
+    // Upstreams that cannot be relieved.
+    std::vector<bool> settled(candidates_.size());
     while (moves_.size() < already + most && row_count_ < max_rows_) {
-      const auto [low, high] = std::ranges::minmax_element(
-          candidates_, {}, [](const Candidate& known) { return known.load; });
-      const double difference = high->load - low->load;
-      if (high->load < kHighLoad || difference < kMinDifference)
-        return;
-      // Moving this rate makes the two equal.
-      const double rate =
-          difference / (high->load_per_rate + low->load_per_rate);
-      const auto wanted =
-          static_cast<std::size_t>(std::max(1.0, std::round(rate * span_)));
-      const auto owner = static_cast<std::size_t>(high - candidates_.begin());
-      const auto to = static_cast<std::size_t>(low - candidates_.begin());
-      const auto piece = DensestPiece(owner, std::max(wanted, kMinSamples));
-      if (!piece || piece->samples < kMinSamples)
-        return;
-      // A single key may be too much to be worth it.
-      const double after =
-          low->load + LoadOf(*low, piece->keys, piece->samples);
-      if (after > high->load - kMinDifference / 4)
+      std::optional<std::size_t> high;
+      std::size_t low = 0;
+      for (std::size_t index = 0; index < candidates_.size(); ++index) {
+        if (candidates_[index].load < candidates_[low].load)
+          low = index;
+        if (!settled[index] &&
+            (!high || candidates_[index].load > candidates_[*high].load))
+          high = index;
+      }
+      if (!high || candidates_[*high].load < kHighLoad ||
+          candidates_[*high].load - candidates_[low].load < kMinDifference)
         return;
-      MovePart(*piece->row, piece->keys, to);
+      if (!Relieve(*high, low))
+        settled[*high] = true;
     }
   }
 
--- a/packages/grants/key_planner_test.cc
+++ b/packages/grants/key_planner_test.cc
@@ -137,6 +137,49 @@
   CHECK(most < static_cast<int>(hot_keys.size()) / 2);
 }
 
+// Load pattern: one key that no upstream can serve alone, beside another group
+// of hot keys. The first must keep its owner for itself, and must not keep the
+// others from being spread.
+TEST_CASE("KeyPlanner spreads hot keys beside one that is too hot") {
+  KeyTable table;
+  const auto candidates = Candidates(15);
+  Service service(candidates);
+  KeyLoad& load = service.load;
+  Apply(table, KeyPlanner::Plan(table, candidates, load, At(0ms)));
+  std::mt19937 random(7);
+  std::uniform_int_distribution<int> any(0, kKeyCount - 1);
+  std::uniform_int_distribution<int> hot(50000, 50059);
+  constexpr KeyNumber kTooHot = 20000;
+  std::vector<KeyNumber> hot_keys;
+  for (auto time = 100ms; time <= 2500ms; time += 100ms) {
+    std::vector<KeyNumber> keys;
+    for (int request = 0; request < 20; ++request)
+      keys.push_back(static_cast<KeyNumber>(any(random)));
+    for (int request = 0; time > 1000ms && request < 8; ++request) {
+      keys.push_back(kTooHot);
+      keys.push_back(static_cast<KeyNumber>(hot(random)));
+      hot_keys.push_back(keys.back());
+    }
+    service.Run(table, keys, At(time));
+    Apply(table, KeyPlanner::Plan(table, candidates, load, At(time)));
+  }
+  const auto counts = CountByOwner(table, hot_keys);
+  int most = 0;
+  for (const auto& [name, count] : counts)
+    most = std::max(most, count);
+  INFO("owners " << counts.size() << ", busiest " << most << " of "
+                 << hot_keys.size());
+  CHECK(counts.size() >= 4);
+  CHECK(most < static_cast<int>(hot_keys.size()) / 2);
+  // Other keys do not wait behind the one that is too hot.
+  std::uint32_t beside = 0;
+  for (const KeyAssignment& row : table.rows()) {
+    if (row.owner == table.Find(kTooHot)->owner)
+      beside += row.keys.size();
+  }
+  CHECK(beside < kKeyCount / 15);
+}
+
 // Load pattern: steady load below what the upstreams can serve. Moves would
 // only pause service.
 TEST_CASE("KeyPlanner leaves a balanced load alone") {
--- a/packages/grants/load_report.h
+++ b/packages/grants/load_report.h
@@ -32,6 +32,8 @@
 // A report. It is sent often and may be lost.
 struct LoadReport {
   std::string instance;
+  // The availability zone of the instance.
+  std::string zone;
   std::map<std::string, ServiceLoad, std::less<>> services;
 };
 
--- /dev/null
+++ b/packages/http/deflate.cc
@@ -0,0 +1,66 @@
+// Deflate and Inflate over Boost.Beast's zlib.
+
+#include "http/deflate.h"
+
+#include <algorithm>
+
+#include <boost/beast/zlib/deflate_stream.hpp>
+#include <boost/beast/zlib/inflate_stream.hpp>
+
+namespace pollenrudder {
+namespace {
+
+namespace zlib = boost::beast::zlib;
+
+// A repetitive text shrinks hardly further at higher levels, which take
+// several times as long.
+constexpr int kLevel = 3;
+// 32 KiB of history; memory of the encoder is released after each text.
+constexpr int kWindowBits = 15;
+constexpr int kMemoryLevel = 8;
+constexpr std::size_t kFirstOutput = 16384;
+
+}  // namespace
+
+std::string Deflate(std::string_view text) {
+  zlib::deflate_stream stream;
+  stream.reset(kLevel, kWindowBits, kMemoryLevel, zlib::Strategy::normal);
+  std::string bytes(stream.upper_bound(text.size()), '\0');
+  zlib::z_params step;
+  step.next_in = text.data();
+  step.avail_in = text.size();
+  step.next_out = bytes.data();
+  step.avail_out = bytes.size();
+  boost::system::error_code error;
+  // The output has room for all, so that one step finishes.
+  stream.write(step, zlib::Flush::finish, error);
+  bytes.resize(step.total_out);
+  return bytes;
+}
+
+std::optional<std::string> Inflate(std::string_view bytes,
+                                   std::size_t max_size) {
+  zlib::inflate_stream stream;
+  std::string text;
+  zlib::z_params step;
+  step.next_in = bytes.data();
+  step.avail_in = bytes.size();
+  boost::system::error_code error;
+  while (error != zlib::error::end_of_stream) {
+    if (text.size() >= max_size)
+      return std::nullopt;
+    text.resize(std::min(max_size, std::max(kFirstOutput, 2 * text.size())));
+    step.next_out = text.data() + step.total_out;
+    step.avail_out = text.size() - step.total_out;
+    stream.write(step, zlib::Flush::sync, error);
+    if (error && error != zlib::error::end_of_stream)
+      return std::nullopt;
+    // All input is used without an end, and there was room for more output.
+    if (!error && step.avail_out > 0)
+      return std::nullopt;
+  }
+  text.resize(step.total_out);
+  return text;
+}
+
+}  // namespace pollenrudder
