Pass the granting duty on to an instance with far more processor time

Now a holder resigns in favour of an instance with twice its processor time; the successor needs no turn, hears of it by datagram, and the others hear of their new holder from the former one. A planned stop names a successor, too. Datagrams over 400 bytes are compressed and encoded once for all receivers.

Ruled out: letting only strong instances join the group of the turn (the group also counts the instances, and no instance knows what the others are).

--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -81,7 +81,7 @@
       forwarder_(io, protocol, *metrics_, ForwarderOptions(settings)),
       duty_(io,
             DutyOptions(settings),
-            settings.zone,
+            LoadReport{settings.instance, settings.zone, settings.cores, {}},
             log,
             protocol,
             *metrics_,
@@ -231,7 +231,7 @@
   const bool is_new = duty_.OnLoad(report, sender);
   // It reads the store by itself until it hears from the holder.
   if (is_new && duty_.duty().IsHolder())
-    channel_->Send(sender, MakeNews());
+    channel_->Send({sender}, MakeNews());
 }
 
 void EntryInstance::OnUpdate(const TableUpdate& update) {
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -15,6 +15,8 @@
   std::string instance;
   std::string zone;
   std::map<std::string, std::string, std::less<>> region_of_zone;
+  // The processor time that this instance may use, in cores.
+  double cores = 1;
   // "ip:port" each.
   std::string caller_address;
   std::string probe_address;
--- a/packages/entry/instance_channel.cc
+++ b/packages/entry/instance_channel.cc
@@ -2,19 +2,28 @@
 
 #include "entry/instance_channel.h"
 
+#include <optional>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 
 #include "base/socket_address.h"
+#include "http/deflate.h"
 
 namespace pollenrudder {
 namespace {
 
-// The first byte of a datagram.
+// The first byte of a datagram tells what it is, the second how it is encoded.
+constexpr std::size_t kPrefixBytes = 2;
 constexpr char kReportTag = 'L';
 constexpr char kUpdateTag = 'U';
 constexpr char kNewsTag = 'N';
+constexpr char kPlain = 'p';
+constexpr char kCompressed = 'z';
+// Compression saves little below this.
+constexpr std::size_t kCompressedFrom = 400;
+// The most that a datagram may expand to.
+constexpr std::size_t kMaxText = 1 << 20;
 
 }  // namespace
 
@@ -42,31 +51,38 @@
                                  Listener& listener)
     : socket_(io), listener_(listener) {}
 
-void InstanceChannel::Send(const std::string& address,
+void InstanceChannel::Send(const Addresses& addresses,
                            const LoadReport& report) {
-  SendText(address, kReportTag, EncodeLoadReport(report));
+  SendText(addresses, kReportTag, EncodeLoadReport(report));
 }
 
-void InstanceChannel::Send(const std::string& address,
+void InstanceChannel::Send(const Addresses& addresses,
                            const TableUpdate& update) {
-  SendText(address, kUpdateTag, EncodeTableUpdate(update));
+  SendText(addresses, kUpdateTag, EncodeTableUpdate(update));
 }
 
-void InstanceChannel::Send(const std::string& address,
+void InstanceChannel::Send(const Addresses& addresses,
                            const RelayedNews& news) {
-  SendText(address, kNewsTag, EncodeRelayedNews(news));
+  SendText(addresses, kNewsTag, EncodeRelayedNews(news));
 }
 
-void InstanceChannel::SendText(const std::string& address,
+void InstanceChannel::SendText(const Addresses& addresses,
                                char tag,
                                const std::string& text) {
-  const auto endpoint = EndpointOf(address);
-  const std::string datagram = tag + text;
-  if (endpoint.port() == 0 || datagram.size() > kMaxDatagram)
+  const bool compressed = text.size() >= kCompressedFrom;
+  const std::string datagram =
+      std::string{tag, compressed ? kCompressed : kPlain} +
+      (compressed ? Deflate(text) : text);
+  if (datagram.size() > kMaxDatagram)
     return;
-  boost::system::error_code ignored;
-  socket_.send_to(boost::asio::buffer(datagram),
-                  {endpoint.address(), endpoint.port()}, 0, ignored);
+  for (const std::string& address : addresses) {
+    const auto endpoint = EndpointOf(address);
+    if (endpoint.port() == 0)
+      continue;
+    boost::system::error_code ignored;
+    socket_.send_to(boost::asio::buffer(datagram),
+                    {endpoint.address(), endpoint.port()}, 0, ignored);
+  }
 }
 
 void InstanceChannel::Receive() {
@@ -91,11 +107,19 @@
                      });
 }
 
-void InstanceChannel::Dispatch(std::string_view text) {
-  if (text.empty())
+void InstanceChannel::Dispatch(std::string_view datagram) {
+  if (datagram.size() < kPrefixBytes)
     return;
-  const char tag = text.front();
-  text.remove_prefix(1);
+  const char tag = datagram[0];
+  const bool compressed = datagram[1] == kCompressed;
+  std::string_view text = datagram.substr(kPrefixBytes);
+  std::optional<std::string> inflated;
+  if (compressed) {
+    inflated = Inflate(text, kMaxText);
+    if (!inflated)
+      return;
+    text = *inflated;
+  }
   if (tag == kReportTag) {
     if (const auto report = ParseLoadReport(text)) {
       listener_.OnReport(*report, sender_.address().to_string() + ':' +
--- a/packages/entry/instance_channel.h
+++ b/packages/entry/instance_channel.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -17,9 +18,9 @@
 
 namespace pollenrudder {
 
-// Sends and receives datagrams. Nothing is sent again: a lost report costs a
-// fraction of a second of one instance's load, and lost news are noticed with
-// the next ones.
+// Sends and receives datagrams, large ones compressed. Nothing is sent again: a
+// lost report costs a fraction of a second of one instance's load, and lost
+// news are noticed with the next ones.
 class InstanceChannel {
  public:
   class Listener {
@@ -39,18 +40,20 @@
       const std::string& address,
       Listener& listener);
 
-  void Send(const std::string& address, const LoadReport& report);
-  void Send(const std::string& address, const TableUpdate& update);
-  void Send(const std::string& address, const RelayedNews& news);
+  // To each of `addresses`, "ip:port" each.
+  using Addresses = std::vector<std::string>;
+  void Send(const Addresses& addresses, const LoadReport& report);
+  void Send(const Addresses& addresses, const TableUpdate& update);
+  void Send(const Addresses& addresses, const RelayedNews& news);
 
  private:
   static constexpr std::size_t kMaxDatagram = 60000;
 
   InstanceChannel(boost::asio::io_context& io, Listener& listener);
   // `tag` tells what `text` is.
-  void SendText(const std::string& address, char tag, const std::string& text);
+  void SendText(const Addresses& addresses, char tag, const std::string& text);
   void Receive();
-  void Dispatch(std::string_view text);
+  void Dispatch(std::string_view datagram);
 
   boost::asio::ip::udp::socket socket_;
   Listener& listener_;
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -35,6 +35,15 @@
 // grows with their number, so that the holder's work does not.
 constexpr milliseconds kLoadInterval{150};
 constexpr std::uint32_t kReportersAtBase = 16;
+// An instance with this many times the processor time of the holder gets the
+// duty: the holder's work grows with the number of instances and keys. Both
+// must have been there for a while, since each change pauses the changes of
+// keys.
+constexpr double kFarStronger = 2;
+constexpr std::chrono::seconds kPassOnPause{2};
+// The strongest instance did not take over when the duty was passed to it.
+constexpr std::chrono::seconds kPassOnPauseAfterFailure{30};
+constexpr milliseconds kSuccessorPoll{150};
 
 std::vector<GrantDuty::LogRecord> ToRecords(const DutyLog::Batch& batch) {
   std::vector<GrantDuty::LogRecord> records;
@@ -66,15 +75,14 @@
 
 KeyDutyDriver::KeyDutyDriver(boost::asio::io_context& io,
                              const GrantDuty::Options& options,
-                             const std::string& zone,
+                             const LoadReport& self,
                              DutyLog& log,
                              const UpstreamProtocol& protocol,
                              Metrics& metrics,
                              Observer& observer)
     : io_(io),
       duty_(options),
-      instance_(options.instance),
-      zone_(zone),
+      self_(self),
       times_(options.times),
       log_(log),
       protocol_(protocol),
@@ -83,7 +91,8 @@
       join_timer_(io),
       read_timer_(io),
       poll_timer_(io),
-      load_timer_(io) {}
+      load_timer_(io),
+      successor_timer_(io) {}
 
 KeyDutyDriver::~KeyDutyDriver() {
   for (auto& [name, channel] : channels_) {
@@ -110,7 +119,8 @@
   if (stopping_)
     return;
   stopping_ = true;
-  duty_.Stop();
+  const Reporter* successor = StrongestReporter(BootClock::now());
+  duty_.Stop(successor == nullptr ? std::string() : successor->instance);
   join_timer_.cancel();
   Poll();
   if (!duty_.IsHolder())
@@ -122,7 +132,8 @@
   const BootTime now = BootClock::now();
   Reporter& reporter = reporters_[sender];
   const bool is_new = !reporter.IsAlive(now);
-  reporter = {now, report.zone};
+  reporter = {is_new ? now : reporter.first_report, now, report.instance,
+              report.zone, report.cores};
   duty_.OnLoad(report, now);
   return is_new;
 }
@@ -131,6 +142,11 @@
   if (!duty_.OnUpdate(update, BootClock::now()))
     ReadNow();
   OnChange();
+  if (!update.term)
+    return;
+  // The new holder learns who is there, or this instance takes over.
+  SendReport(self_);
+  Poll();
 }
 
 void KeyDutyDriver::SetRelayed(bool relayed) {
@@ -147,29 +163,84 @@
 }
 
 void KeyDutyDriver::SendToReporters(const RelayedNews& news) {
-  if (!duty_.IsHolder())
-    return;
-  const BootTime now = BootClock::now();
+  if (duty_.IsHolder())
+    channel_->Send(LiveReporters(BootClock::now()), news);
+}
+
+InstanceChannel::Addresses KeyDutyDriver::LiveReporters(BootTime now) const {
+  InstanceChannel::Addresses addresses;
   for (const auto& [address, reporter] : reporters_) {
     if (reporter.IsAlive(now))
-      channel_->Send(address, news);
+      addresses.push_back(address);
   }
+  return addresses;
 }
 
 std::map<std::string, std::string, std::less<>>
 KeyDutyDriver::OneReporterPerZone(std::uint64_t turn) const {
   const BootTime now = BootClock::now();
-  std::map<std::string, std::vector<std::string>, std::less<>> by_zone;
+  struct Strongest {
+    double cores = 0;
+    std::vector<std::string> addresses;
+  };
+  std::map<std::string, Strongest, std::less<>> by_zone;
   for (const auto& [address, reporter] : reporters_) {
-    if (reporter.IsAlive(now))
-      by_zone[reporter.zone].push_back(address);
+    if (!reporter.IsAlive(now))
+      continue;
+    Strongest& strongest = by_zone[reporter.zone];
+    if (reporter.cores > strongest.cores)
+      strongest = {reporter.cores, {}};
+    if (reporter.cores >= strongest.cores)
+      strongest.addresses.push_back(address);
   }
   std::map<std::string, std::string, std::less<>> chosen;
-  for (const auto& [zone, addresses] : by_zone)
-    chosen[zone] = addresses[turn % addresses.size()];
+  for (const auto& [zone, strongest] : by_zone)
+    chosen[zone] = strongest.addresses[turn % strongest.addresses.size()];
   return chosen;
 }
 
+const KeyDutyDriver::Reporter* KeyDutyDriver::StrongestReporter(
+    BootTime now) const {
+  const Reporter* strongest = nullptr;
+  for (const auto& [address, reporter] : reporters_) {
+    if (reporter.IsAlive(now) &&
+        (strongest == nullptr || reporter.cores > strongest->cores))
+      strongest = &reporter;
+  }
+  return strongest;
+}
+
+void KeyDutyDriver::ConsiderPassingOn() {
+  const BootTime now = BootClock::now();
+  if (!duty_.IsActive(now) || stopping_)
+    return;
+  const auto pause =
+      duty_.ReplacesSuccessor() ? kPassOnPauseAfterFailure : kPassOnPause;
+  if (now < holder_since_ + pause)
+    return;
+  const Reporter* strongest = StrongestReporter(now);
+  if (strongest == nullptr || strongest->cores < kFarStronger * self_.cores ||
+      now < strongest->first_report + kPassOnPause)
+    return;
+  duty_.PassOn(strongest->instance, now);
+}
+
+void KeyDutyDriver::WatchForSuccessor() {
+  successor_timer_.expires_after(kSuccessorPoll);
+  successor_timer_.async_wait([this](boost::system::error_code error) {
+    if (error || !resignation_.term || !duty_.term() || !duty_.term()->resigned)
+      return;
+    // A datagram may have been lost.
+    const auto at = std::ranges::find_if(reporters_, [this](const auto& known) {
+      return known.second.instance == resignation_.term->successor;
+    });
+    if (at != reporters_.end())
+      channel_->Send({at->first}, resignation_);
+    ReadNow();
+    WatchForSuccessor();
+  });
+}
+
 void KeyDutyDriver::OnFleet(const Fleet& fleet, const RoutePlan& plan) {
   duty_.OnFleet(fleet, plan, BootClock::now());
   std::erase_if(channels_, [&](const auto& entry) {
@@ -200,6 +271,7 @@
         instances_ = turn.value().instances;
         observer_.OnInstanceCount(instances_);
       }
+      ConsiderPassingOn();
       Poll();
     }
     join_timer_.expires_after(kJoinInterval);
@@ -307,6 +379,9 @@
   const bool holder = duty_.IsHolder();
   if (holder != was_holder_) {
     was_holder_ = holder;
+    holder_since_ = now;
+    if (!holder && duty_.term() && duty_.term()->resigned)
+      WatchForSuccessor();
     if (holder) {
       SchedulePoll();
       ScheduleRead();
@@ -339,11 +414,14 @@
     });
     observer_.OnKeysChanged(duty_);
   }
-  for (const TableUpdate& update : duty_.TakeUpdates()) {
-    for (const auto& [address, reporter] : reporters_) {
-      if (reporter.IsAlive(now))
-        channel_->Send(address, update);
-    }
+  const std::vector<TableUpdate> updates = duty_.TakeUpdates();
+  if (updates.empty())
+    return;
+  const InstanceChannel::Addresses addresses = LiveReporters(now);
+  for (const TableUpdate& update : updates) {
+    channel_->Send(addresses, update);
+    if (update.term && update.term->resigned)
+      resignation_ = update;
   }
 }
 
@@ -354,7 +432,8 @@
     if (error)
       return;
     SendLoad();
-    LoadReport report{instance_, zone_, observer_.TakeLoad()};
+    LoadReport report = self_;
+    report.services = observer_.TakeLoad();
     // Without news, the first report is what makes the holder send them.
     if (report.services.empty() && relayed_ &&
         ++empty_reports_ <= kEmptyReportsLeftOut)
@@ -362,11 +441,16 @@
     empty_reports_ = 0;
     if (duty_.IsHolder())
       duty_.OnLoad(report, BootClock::now());
-    else if (duty_.term() && !duty_.term()->resigned)
-      channel_->Send(duty_.term()->report_address, report);
+    else
+      SendReport(report);
   });
 }
 
+void KeyDutyDriver::SendReport(const LoadReport& report) {
+  if (!duty_.IsHolder() && duty_.term() && !duty_.term()->resigned)
+    channel_->Send({duty_.term()->report_address}, report);
+}
+
 void KeyDutyDriver::Start(const KeyCall& call) {
   if (call.kind == KeyCall::Kind::kRelease) {
     const auto link = HttpLink::Create(io_, EndpointOf(call.address));
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -38,11 +38,11 @@
     virtual std::map<std::string, ServiceLoad, std::less<>> TakeLoad() = 0;
   };
 
-  // `zone` is the availability zone of this instance. The other arguments but
+  // `self` describes this instance in its reports. The other arguments but
   // `options` must outlive the driver.
   KeyDutyDriver(boost::asio::io_context& io,
                 const GrantDuty::Options& options,
-                const std::string& zone,
+                const LoadReport& self,
                 DutyLog& log,
                 const UpstreamProtocol& protocol,
                 Metrics& metrics,
@@ -63,7 +63,7 @@
   // The instances that report to this one, if it is the holder.
   void SendToReporters(const RelayedNews& news);
   // One of the instances that report, for each availability zone: "ip:port".
-  // `turn` spreads the choice over the instances of a zone.
+  // `turn` spreads the choice over the strongest instances of a zone.
   std::map<std::string, std::string, std::less<>> OneReporterPerZone(
       std::uint64_t turn) const;
   // Hands the duty to another instance.
@@ -82,8 +82,11 @@
   };
 
   struct Reporter {
+    BootTime first_report;
     BootTime last_report;
+    std::string instance;
     std::string zone;
+    double cores = 1;
 
     bool IsAlive(BootTime now) const;
   };
@@ -95,6 +98,14 @@
   void Poll();
   void SchedulePoll();
   void SendLoad();
+  void SendReport(const LoadReport& report);
+  // Resigns in favour of an instance with far more processor time.
+  void ConsiderPassingOn();
+  InstanceChannel::Addresses LiveReporters(BootTime now) const;
+  // The strongest of the other instances that report; nullptr without any.
+  const Reporter* StrongestReporter(BootTime now) const;
+  // Reads the log until it names the instance that takes over.
+  void WatchForSuccessor();
   void Start(const KeyCall& call);
   void SendNextGrant(const std::string& upstream);
   void Send(const std::shared_ptr<HttpLink>& link,
@@ -104,8 +115,7 @@
 
   boost::asio::io_context& io_;
   GrantDuty duty_;
-  const std::string instance_;
-  const std::string zone_;
+  const LoadReport self_;
   const DutyTimes times_;
   DutyLog& log_;
   const UpstreamProtocol& protocol_;
@@ -116,6 +126,7 @@
   boost::asio::steady_timer read_timer_;
   boost::asio::steady_timer poll_timer_;
   boost::asio::steady_timer load_timer_;
+  boost::asio::steady_timer successor_timer_;
   std::map<std::string, Channel, std::less<>> channels_;
   std::map<std::uint64_t, std::shared_ptr<HttpLink>> releases_;
   // The instances that report, by "ip:port".
@@ -124,6 +135,10 @@
   std::uint32_t instances_ = 1;
   bool was_holder_ = false;
   bool was_active_ = false;
+  // What this instance resigned with, if it did.
+  TableUpdate resignation_;
+  // When this instance became the holder.
+  BootTime holder_since_{};
   bool reading_now_ = false;
   bool relayed_ = false;
   // Load reports without any load that were left out in a row.
--- a/packages/grants/duty_record.cc
+++ b/packages/grants/duty_record.cc
@@ -81,14 +81,32 @@
   return row;
 }
 
+json::object EncodeTerm(const TermRecord& term) {
+  return {
+      {"instance", term.instance},      {"life", term.life},
+      {"reports", term.report_address}, {"resigned", term.resigned},
+      {"wait", term.wait.count()},      {"unanswered", term.unanswered.count()},
+      {"successor", term.successor}};
+}
+
+TermRecord ParseTerm(const json::value& value) {
+  TermRecord term;
+  term.instance = JsonText(value.at("instance"));
+  term.life = JsonText(value.at("life"));
+  term.report_address = JsonText(value.at("reports"));
+  term.resigned = value.at("resigned").as_bool();
+  term.wait =
+      std::chrono::milliseconds(value.at("wait").to_number<std::int64_t>());
+  term.unanswered = std::chrono::milliseconds(
+      value.at("unanswered").to_number<std::int64_t>());
+  // Records of earlier versions do not have it.
+  if (const json::value* successor = value.as_object().if_contains("successor"))
+    term.successor = JsonText(*successor);
+  return term;
+}
+
 DutyRecord EncodeDutyRecord(const TermRecord& term) {
-  const json::object value{{"instance", term.instance},
-                           {"life", term.life},
-                           {"reports", term.report_address},
-                           {"resigned", term.resigned},
-                           {"wait", term.wait.count()},
-                           {"unanswered", term.unanswered.count()}};
-  return {std::string(kTermKey), json::serialize(value)};
+  return {std::string(kTermKey), json::serialize(EncodeTerm(term))};
 }
 
 DutyRecord EncodeDutyRecord(const TableRecord& record) {
@@ -101,18 +119,8 @@
 Result<ParsedDutyRecord> ParseDutyRecord(const DutyRecord& record) {
   try {
     const json::value value = json::parse(record.value);
-    if (record.key == kTermKey) {
-      TermRecord term;
-      term.instance = JsonText(value.at("instance"));
-      term.life = JsonText(value.at("life"));
-      term.report_address = JsonText(value.at("reports"));
-      term.resigned = value.at("resigned").as_bool();
-      term.wait =
-          std::chrono::milliseconds(value.at("wait").to_number<std::int64_t>());
-      term.unanswered = std::chrono::milliseconds(
-          value.at("unanswered").to_number<std::int64_t>());
-      return ParsedDutyRecord(std::move(term));
-    }
+    if (record.key == kTermKey)
+      return ParsedDutyRecord(ParseTerm(value));
     if (record.key.starts_with(kTablePrefix)) {
       return ParsedDutyRecord(TableRecord{
           record.key.substr(kTablePrefix.size()), ParseTable(value)});
--- a/packages/grants/duty_record.h
+++ b/packages/grants/duty_record.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
 
 #include "base/result.h"
 #include "grants/key_table.h"
@@ -31,6 +32,9 @@
   // With `resigned`: how long after this record a grant without an answer may
   // still be in effect.
   std::chrono::milliseconds unanswered{0};
+  // With `resigned`: the instance that is to take over. Empty if that is the
+  // one that has the turn.
+  std::string successor;
 
   bool operator==(const TermRecord&) const = default;
 };
@@ -52,6 +56,10 @@
 using ParsedDutyRecord = std::variant<TermRecord, TableRecord>;
 
 DutyRecord EncodeDutyRecord(const TermRecord& term);
+// A term as it stands in a record.
+boost::json::object EncodeTerm(const TermRecord& term);
+// Throws, as Boost.JSON does, for a malformed term.
+TermRecord ParseTerm(const boost::json::value& value);
 DutyRecord EncodeDutyRecord(const TableRecord& table);
 // One row as it stands in a record.
 boost::json::array EncodeKeyRow(const KeyAssignment& row);
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -86,6 +86,9 @@
                            former->life == term.life && !former->resigned;
   if (same_holder && !term.resigned)
     return;
+  const bool follows_mine = former && former->instance == options_.instance &&
+                            former->life == options_.life;
+  const TableUpdate update{"", offset, last_change_, {}, term};
   last_change_ = offset + 1;
   // Two instances that both believe it is their turn must not take the duty
   // from each other again and again.
@@ -94,6 +97,9 @@
     BecomeHolder(former, term.wait, now);
   else if (holder_)
     ForgetHolderState();
+  // The others report to the former holder, and hear of its successor from it.
+  if (follows_mine)
+    updates_.push_back(update);
 }
 
 void GrantDuty::ApplyTable(std::uint64_t offset, const TableRecord& record) {
@@ -101,7 +107,7 @@
   if (table == record.table)
     return;
   if (holder_) {
-    TableUpdate update{record.service, offset, last_change_, {}};
+    TableUpdate update{record.service, offset, last_change_, {}, {}};
     for (const KeyAssignment& row : record.table.rows()) {
       const KeyAssignment* old = table.Find(row.keys.first);
       // A row that was only cut needs no update.
@@ -127,10 +133,14 @@
     needs_log_ = true;
     return false;
   }
+  next_offset_ = update.offset + 1;
+  if (update.term) {
+    ApplyTerm(update.offset, *update.term, now);
+    return true;
+  }
   KeyTable& table = tables_[update.service];
   for (const KeyAssignment& row : update.rows)
     table.Assign(row);
-  next_offset_ = update.offset + 1;
   // Reminders of the term may lie between; the update shows as well that the
   // holder lives.
   term_seen_ = now;
@@ -156,7 +166,7 @@
 
 TermRecord GrantDuty::MakeClaim() const {
   return {options_.instance,  options_.life,    options_.report_address,
-          /*resigned=*/false, WaitAfterClaim(), milliseconds(0)};
+          /*resigned=*/false, WaitAfterClaim(), milliseconds(0),         {}};
 }
 
 TermRecord GrantDuty::MakeResignation(BootTime now) const {
@@ -177,7 +187,20 @@
           /*resigned=*/true,
           std::chrono::ceil<milliseconds>(
               std::max<std::chrono::nanoseconds>(changes_from_ - now, {})),
-          std::chrono::ceil<milliseconds>(unanswered - now)};
+          std::chrono::ceil<milliseconds>(unanswered - now),
+          successor_};
+}
+
+void GrantDuty::Stop(const std::string& successor) {
+  stopping_ = true;
+  successor_ = successor;
+}
+
+void GrantDuty::PassOn(const std::string& successor, BootTime now) {
+  if (!holder_ || stopping_ || passing_on_ || now < changes_from_)
+    return;
+  passing_on_ = true;
+  successor_ = successor;
 }
 
 std::optional<TermRecord> GrantDuty::MakeReminder(BootTime now) {
@@ -197,6 +220,9 @@
                              milliseconds wait,
                              BootTime now) {
   holder_ = true;
+  replaces_successor_ = former && former->resigned &&
+                        !former->successor.empty() &&
+                        former->successor != options_.instance;
   const DutyTimes& times = options_.times;
   changes_from_ = now + wait;
   // The last grant of an earlier holder is answered or given up by then, and
@@ -223,6 +249,7 @@
 
 void GrantDuty::ForgetHolderState() {
   holder_ = false;
+  passing_on_ = false;
   confirmed_at_ = {};
   changes_from_ = {};
   calls_.clear();
@@ -299,9 +326,12 @@
   // can take it over as early.
   if (term_ && !term_->resigned && term_->instance == options_.instance)
     return true;
+  const bool has_successor = term_ && !term_->successor.empty();
+  if (has_successor && term_->successor == options_.instance)
+    return true;
   if (!turn_is_mine_)
     return false;
-  return !term_ || term_->resigned ||
+  return !term_ || (term_->resigned && !has_successor) ||
          now >= std::max(turn_since_, term_seen_) + kHolderPatience;
 }
 
@@ -323,7 +353,7 @@
   }
   if (!IsActive(now))
     return actions;
-  if (stopping_) {
+  if (stopping_ || passing_on_) {
     if (!HasOpenGrant() && may_append) {
       append_ =
           DutyAppend{{EncodeDutyRecord(MakeResignation(now))}, next_offset_};
--- a/packages/grants/grant_duty.h
+++ b/packages/grants/grant_duty.h
@@ -44,6 +44,9 @@
 // turn passes on keeps the duty, and appends its term again and again to show
 // that it lives: every change of holder pauses the changes of assignments.
 //
+// A holder may resign in favour of a certain instance, which then takes over
+// without the turn; if it does not, the owner of the turn does.
+//
 // Related: KeyPlanner decides the moves, KeyTable is what instances route by.
 class GrantDuty {
  public:
@@ -87,8 +90,12 @@
                    KeyCallResult result,
                    const std::string& handover,
                    BootTime now);
-  // Ends the term in order; IsStopped() tells when that is done.
-  void Stop() { stopping_ = true; }
+  // Ends the term in order; IsStopped() tells when that is done. `successor` is
+  // the instance that is to take over, or empty.
+  void Stop(const std::string& successor);
+  // Resigns in favour of another instance. Does nothing unless this one is the
+  // holder and waits for nobody.
+  void PassOn(const std::string& successor, BootTime now);
 
   // Returns what to do now. Call after each event and every few 10 ms.
   DutyActions Poll(BootTime now);
@@ -110,6 +117,9 @@
     return tables_;
   }
   const std::optional<TermRecord>& term() const { return term_; }
+  // The instance to which an earlier holder resigned did not take over, so that
+  // this one had to.
+  bool ReplacesSuccessor() const { return replaces_successor_; }
   std::uint64_t term_offset() const { return term_offset_; }
   // When this instance may change assignments; the epoch if it holds no term.
   BootTime changes_from() const { return changes_from_; }
@@ -220,7 +230,7 @@
   std::uint64_t last_change_ = 0;
   std::uint64_t tables_version_ = 0;
   std::map<std::string, KeyTable, std::less<>> tables_;
-  // Filled while this instance is the holder.
+  // Filled while this instance is the holder, and with the term that follows.
   std::vector<TableUpdate> updates_;
   std::optional<TermRecord> term_;
   std::uint64_t term_offset_ = 0;
@@ -233,6 +243,10 @@
   bool turn_is_elsewhere_ = false;
   BootTime next_keep_{};
   bool stopping_ = false;
+  // The term is being ended in favour of successor_.
+  bool passing_on_ = false;
+  std::string successor_;
+  bool replaces_successor_ = false;
   bool holder_ = false;
   BootTime confirmed_at_{};
   BootTime changes_from_{};
--- a/packages/grants/grant_duty_property_test.cc
+++ b/packages/grants/grant_duty_property_test.cc
@@ -184,6 +184,13 @@
       Restart(Pick(kInstances), now_);
     if (Chance(0.004))
       turn_ = Pick(kInstances);
+    if (Chance(0.004)) {
+      const std::string successor = "front-" + std::to_string(Pick(kInstances));
+      for (Instance& instance : instances_) {
+        if (now_ >= instance.frozen_until)
+          instance.duty->PassOn(successor, now_);
+      }
+    }
     if (Chance(0.004)) {
       Upstream& upstream = upstreams_[Pick(kUpstreams)];
       upstream.alive = !upstream.alive;
--- a/packages/grants/grant_duty_test.cc
+++ b/packages/grants/grant_duty_test.cc
@@ -173,7 +173,7 @@
 // Without this, a planned stop of the holder would freeze all assignments.
 TEST_CASE("GrantDuty needs no wait after a resignation") {
   GrantDuty former = MakeHolder(2);
-  former.Stop();
+  former.Stop("");
   const DutyActions actions = former.Poll(At(2000ms));
   REQUIRE(actions.append);
   former.OnAppendEnded(DutyAppendResult::kDone, At(2000ms), At(2001ms));
@@ -191,6 +191,76 @@
   CHECK(duty.changes_from() <= At(2103ms));
 }
 
+// Load pattern: many instances of which few are strong. The weak one that began
+// passes the duty on at once, and nobody else takes it meanwhile.
+TEST_CASE("GrantDuty passes the duty on to a certain instance") {
+  GrantDuty former = MakeHolder(2);
+  former.PassOn("front-3", At(2000ms));
+  const DutyActions actions = former.Poll(At(2000ms));
+  REQUIRE(actions.append);
+  (void)former.TakeUpdates();
+  former.OnAppendEnded(DutyAppendResult::kDone, At(2000ms), At(2001ms));
+  CHECK_FALSE(former.IsHolder());
+  const auto updates = former.TakeUpdates();
+  REQUIRE(updates.size() == 1);
+  const auto update = ParseTableUpdate(EncodeTableUpdate(updates[0]));
+  REQUIRE(update);
+  REQUIRE(update->term);
+
+  const auto hear = [&](const std::string& instance) {
+    GrantDuty duty = MakeDuty(instance);
+    duty.OnFleet(MakeFleet(2), MakePlan(), At(2000ms));
+    duty.OnNewestRecords({}, update->since, At(2000ms));
+    CHECK(duty.OnUpdate(*update, At(2010ms)));
+    return duty;
+  };
+  SECTION("it takes over without the turn") {
+    GrantDuty duty = hear("front-3");
+    REQUIRE(duty.Poll(At(2011ms)).append);
+    duty.OnAppendEnded(DutyAppendResult::kDone, At(2011ms), At(2020ms));
+    CHECK(duty.IsHolder());
+    CHECK(duty.changes_from() <= At(2020ms));
+    CHECK_FALSE(duty.ReplacesSuccessor());
+  }
+  SECTION("the owner of the turn does if it is lost") {
+    GrantDuty duty = hear("front-2");
+    duty.OnTurn(true, At(2020ms), At(2020ms));
+    CHECK_FALSE(duty.Poll(At(3900ms)).append);
+    REQUIRE(duty.Poll(At(4000ms)).append);
+    duty.OnAppendEnded(DutyAppendResult::kDone, At(4000ms), At(4001ms));
+    CHECK(duty.IsHolder());
+    CHECK(duty.ReplacesSuccessor());
+  }
+  SECTION("the former holder tells the others of its successor") {
+    TermRecord term;
+    term.instance = "front-3";
+    former.OnLog({{former.next_offset(), EncodeDutyRecord(term)}},
+                 former.next_offset() + 1, At(2200ms), At(2200ms));
+    const auto later = former.TakeUpdates();
+    REQUIRE(later.size() == 1);
+    REQUIRE(later[0].term);
+    GrantDuty duty = hear("front-2");
+    CHECK(duty.OnUpdate(later[0], At(2210ms)));
+    CHECK(duty.term()->instance == "front-3");
+  }
+}
+
+// A holder that itself waits for an earlier one keeps the duty: a change would
+// make its successor wait as well.
+TEST_CASE("GrantDuty does not pass the duty on while it waits") {
+  GrantDuty duty = MakeDuty("front-2");
+  duty.OnFleet(MakeFleet(2), MakePlan(), At(0ms));
+  TermRecord other;
+  other.instance = "front-1";
+  duty.OnLog({{0, EncodeDutyRecord(other)}}, 1, At(0ms), At(0ms));
+  duty.OnTurn(true, At(1ms), At(1ms));
+  Run(duty, 2000ms, 3000ms);
+  REQUIRE(duty.IsHolder());
+  duty.PassOn("front-3", At(3010ms));
+  Run(duty, 3010ms, 3500ms);
+  CHECK(duty.IsHolder());
+}
+
 // Two instances that both believe in their turn must not take the duty from
 // each other again and again.
 TEST_CASE("GrantDuty drops a turn at a newer term") {
--- a/packages/grants/load_report.cc
+++ b/packages/grants/load_report.cc
@@ -27,8 +27,10 @@
     services[name] =
         json::array{json::value(std::move(keys)), std::move(upstreams)};
   }
-  return json::serialize(json::object{
-      {"i", report.instance}, {"z", report.zone}, {"s", std::move(services)}});
+  return json::serialize(json::object{{"i", report.instance},
+                                      {"z", report.zone},
+                                      {"c", report.cores},
+                                      {"s", std::move(services)}});
 }
 
 std::optional<LoadReport> ParseLoadReport(std::string_view text) {
@@ -37,6 +39,7 @@
     LoadReport report;
     report.instance = JsonText(value.at("i"));
     report.zone = JsonText(value.at("z"));
+    report.cores = value.at("c").to_number<double>();
     for (const auto& [name, parts] : value.at("s").as_object()) {
       ServiceLoad& load = report.services[ToText(name)];
       for (const json::value& key : parts.as_array().at(0).as_array())
--- a/packages/grants/load_report.h
+++ b/packages/grants/load_report.h
@@ -34,6 +34,8 @@
   std::string instance;
   // The availability zone of the instance.
   std::string zone;
+  // The processor time that it may use, in cores.
+  double cores = 1;
   std::map<std::string, ServiceLoad, std::less<>> services;
 };
 
--- a/packages/grants/table_update.cc
+++ b/packages/grants/table_update.cc
@@ -15,10 +15,13 @@
   json::array rows;
   for (const KeyAssignment& row : update.rows)
     rows.push_back(EncodeKeyRow(row));
-  return json::serialize(json::object{{"u", update.service},
-                                      {"o", update.offset},
-                                      {"p", update.since},
-                                      {"r", std::move(rows)}});
+  json::object fields{{"u", update.service},
+                      {"o", update.offset},
+                      {"p", update.since},
+                      {"r", std::move(rows)}};
+  if (update.term)
+    fields["t"] = EncodeTerm(*update.term);
+  return json::serialize(fields);
 }
 
 std::optional<TableUpdate> ParseTableUpdate(std::string_view text) {
@@ -30,6 +33,8 @@
     update.since = value.at("p").to_number<std::uint64_t>();
     for (const json::value& row : value.at("r").as_array())
       update.rows.push_back(ParseKeyRow(row.as_array()));
+    if (const json::value* term = value.as_object().if_contains("t"))
+      update.term = ParseTerm(*term);
     return update;
   } catch (const std::exception&) {
     // Boost.JSON reports a malformed datagram by an exception.
--- a/packages/grants/table_update.h
+++ b/packages/grants/table_update.h
@@ -9,20 +9,25 @@
 #include <string_view>
 #include <vector>
 
+#include "grants/duty_record.h"
 #include "grants/key_assignment.h"
 
 namespace pollenrudder {
 
-// The rows that a record on the log changed. It is sent after the record has
-// been appended, so that it says nothing that the log does not say.
+// The rows that a record on the log changed, or the term that it started or
+// ended. It is sent after the record has been appended, so that it says nothing
+// that the log does not say.
 struct TableUpdate {
+  // Empty for a term.
   std::string service;
   // The offset of the record.
   std::uint64_t offset = 0;
-  // No table changed from this offset on up to the record. An update can be
-  // applied only by a reader that has read the log up to here.
+  // Neither a table nor the holder changed from this offset on up to the
+  // record. An update can be applied only by a reader that has read the log up
+  // to here.
   std::uint64_t since = 0;
   std::vector<KeyAssignment> rows;
+  std::optional<TermRecord> term;
 };
 
 std::string EncodeTableUpdate(const TableUpdate& update);
