--- a/packages/entry/plan_relay.cc
+++ b/packages/entry/plan_relay.cc
@@ -60,6 +60,11 @@
     GiveUp();
     return;
   }
+  // The source may have closed it since the last answer.
+  if (link_ && !link_->IsReusable()) {
+    link_->Abort();
+    link_.reset();
+  }
   if (!link_)
     link_ = HttpLink::Create(io_, EndpointOf(source_));
   HttpRequest request;
@@ -82,7 +87,7 @@
     GiveUp();
     return;
   }
-  if (response.status != 200 && link_->IsReusable()) {
+  if (response.status != 200) {
     retry_timer_.expires_after(kRetryPause);
     retry_timer_.async_wait([this](boost::system::error_code error) {
       if (!error)
--- a/packages/entry/plan_relay_test.cc
+++ b/packages/entry/plan_relay_test.cc
@@ -2,12 +2,14 @@
 
 #include "entry/plan_relay.h"
 
+#include <array>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "base/socket_address.h"
@@ -121,6 +123,33 @@
   CHECK(zone.receiver.missed == missed + 1);
 }
 
+// The source was stopped between two questions: the process ended by an
+// assertion (cumbre-chalet scale-2, front-cotopaxi-2 at 32.5 s).
+TEST_CASE("A source may close the connection between two questions") {
+  Zone zone;
+  boost::asio::ip::tcp::acceptor acceptor(zone.io, EndpointOf(zone.address));
+  boost::asio::ip::tcp::socket socket(zone.io);
+  std::array<char, 1024> request{};
+  acceptor.async_accept(socket, [&](boost::system::error_code) {
+    socket.async_read_some(
+        boost::asio::buffer(request),
+        [&](boost::system::error_code, std::size_t) {
+          const std::string answer =
+              "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
+          boost::asio::write(socket, boost::asio::buffer(answer));
+          socket.close();
+          acceptor.close();
+          zone.Keep(7, "text");
+          zone.Listen();
+        });
+  });
+  zone.receiver.relay.Fetch(7, zone.address);
+  REQUIRE(zone.RunUntil([&] {
+    return zone.receiver.fetched.has_value() || zone.receiver.missed > 0;
+  }));
+  CHECK(zone.receiver.fetched);
+}
+
 TEST_CASE("A source answers nothing but requests for versions") {
   Zone zone;
   zone.Keep(7, "text");
