Fence the grants of a lost holder by the token of the new term

Cause: after the loss of a holder its successor changed nothing for 4.6 s (lapse), and moved nothing for another 4.9 s, since grants of the lost holder could still arrive. Now grants carry at least the token of the term: an owner that has accepted one refuses all earlier ones (409), so that its keys may move at once. Rows of owners that do not answer wait as before.

--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -518,6 +518,7 @@
           EventLog::WriteLazily(kKeyCallFailed, [&] {
             return std::vector<LogField>{{"kind", grant ? "grant" : "release"},
                                          {"result", Name(answer.first)},
+                                         {"status", response.status},
                                          {"upstream", call.upstream.name},
                                          {"first", call.keys.first},
                                          {"last", call.keys.last},
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -94,7 +94,7 @@
   // from each other again and again.
   turn_is_mine_ = false;
   if (mine && !term.resigned)
-    BecomeHolder(former, term.wait, now);
+    BecomeHolder(former, offset, term.wait, now);
   else if (holder_)
     ForgetHolderState();
   // The others report to the former holder, and hear of its successor from it.
@@ -173,8 +173,9 @@
   BootTime unanswered = now;
   for (const auto& [service, state] : services_) {
     for (const RowState& row : state.rows) {
-      unanswered = std::max({unanswered, row.owner_hold.unanswered_end(),
-                             row.former_hold.unanswered_end()});
+      unanswered =
+          std::max({unanswered, row.owner_hold.unanswered_end(),
+                    row.former_hold.unanswered_end(), row.unnamed_until});
       // The log does not name these, so that a successor cannot have them
       // release the keys.
       for (const SupersededOwner& superseded : row.superseded)
@@ -217,9 +218,11 @@
 }
 
 void GrantDuty::BecomeHolder(const std::optional<TermRecord>& former,
+                             std::uint64_t offset,
                              milliseconds wait,
                              BootTime now) {
   holder_ = true;
+  term_token_ = offset;
   replaces_successor_ = former && former->resigned &&
                         !former->successor.empty() &&
                         former->successor != options_.instance;
@@ -239,6 +242,10 @@
     CarryRows(state, table);
     for (RowState& row : state.rows) {
       row.grant_sent = true;
+      // Keys of a row that does not move were granted after all others had lost
+      // them.
+      if (row.row.moving)
+        row.unnamed_until = unanswered_until;
       for (HoldState* hold : {&row.owner_hold, &row.former_hold}) {
         hold->AssumeAnsweredUntil(held_until);
         hold->AssumeHeldUntil(unanswered_until);
--- a/packages/grants/grant_duty.h
+++ b/packages/grants/grant_duty.h
@@ -3,6 +3,7 @@
 #ifndef POLLENRUDDER_GRANTS_GRANT_DUTY_H_
 #define POLLENRUDDER_GRANTS_GRANT_DUTY_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -32,10 +33,11 @@
 //   whose term is not the newest can change nothing.
 // - The holder sends calls only within `term_lapse` of the sending of a store
 //   call that proved its term. A new holder renews what the log says, with the
-//   same owner and token, at once; it changes an assignment only when the
-//   former holder's lapse has passed. It need not wait for a holder that
-//   resigned or was an earlier life of the same instance, but inherits the wait
-//   of that one.
+//   same owner, at once, with a token of its own term; it changes an assignment
+//   only when the former holder's lapse has passed, or when the owner has
+//   accepted that token and so refuses the former holder's grants. It need not
+//   wait for a holder that resigned or was an earlier life of the same
+//   instance, but inherits the wait of that one.
 // - Keys go to a new owner when the former one has released them, or when its
 //   hold is over, and no grant without an answer can still take effect at it;
 //   or when another upstream answers at its address.
@@ -139,6 +141,10 @@
     HoldState former_hold;
     // All of them must have lost the keys before the owner gets them.
     std::vector<SupersededOwner> superseded;
+    // Until then an owner that an earlier holder superseded may have the keys.
+    BootTime unnamed_until{};
+    // The former owner accepted a grant of this term before.
+    bool former_secured = false;
     // The former owner released the keys.
     bool released = false;
     std::string handover;
@@ -146,7 +152,7 @@
     BootTime next_release{};
     // A grant was sent to the owner, in this term or perhaps before it.
     bool grant_sent = false;
-    // The owner accepted a grant in this term.
+    // The owner accepted a grant in this term, and refuses those of others.
     bool granted = false;
     bool fenced = false;
     BootTime next_grant{};
@@ -163,6 +169,8 @@
   };
   struct OpenCall {
     KeyCall call;
+    // The token of the assignment that the call is for.
+    std::uint64_t row_token = 0;
   };
 
   void ApplyRecord(std::uint64_t offset,
@@ -176,6 +184,7 @@
   // Builds the row states of a table that replaces another one.
   void CarryRows(ServiceState& state, const KeyTable& table) const;
   void BecomeHolder(const std::optional<TermRecord>& former,
+                    std::uint64_t offset,
                     std::chrono::milliseconds wait,
                     BootTime now);
   void ForgetHolderState();
@@ -197,6 +206,11 @@
                      RowState& row,
                      BootTime now,
                      DutyActions& actions);
+  // The token for calls about an assignment. Grants carry one of this term, so
+  // that upstreams refuse those of earlier holders that are still on their way.
+  std::uint64_t CallToken(std::uint64_t row_token) const {
+    return std::max(row_token, term_token_);
+  }
   void SendGrant(const std::string& service,
                  RowState& row,
                  const ListedUpstream& upstream,
@@ -212,8 +226,10 @@
                                             BootTime now) const;
   // The rows whose owner may have an unanswered grant, in order: they could not
   // be granted to another upstream soon.
-  static std::vector<KeyRange> PinnedRows(const ServiceState& state,
-                                          BootTime now);
+  std::vector<KeyRange> PinnedRows(const ServiceState& state,
+                                   BootTime now) const;
+  // Whether the former holder of the duty can do nothing about a row any more.
+  bool MayChange(const RowState& row, BootTime now) const;
   // Whether the keys of a moving row may be given to yet another owner.
   bool MayReplan(const RowState& row, BootTime now) const;
   const ListedUpstream* FindLife(const UpstreamLife& life) const;
@@ -254,6 +270,8 @@
   bool holder_ = false;
   BootTime confirmed_at_{};
   BootTime changes_from_{};
+  // The offset at which this term began, while this instance is the holder.
+  std::uint64_t term_token_ = 0;
   // The append without an answer.
   std::optional<DutyAppend> append_;
   BootTime next_append_{};
--- a/packages/grants/grant_duty_rows.cc
+++ b/packages/grants/grant_duty_rows.cc
@@ -30,12 +30,15 @@
 void GrantDuty::CarryHolds(const RowState& old, RowState& next) {
   const FormerOwner old_owner{old.row.owner, old.row.token};
   next.superseded = old.superseded;
+  next.unnamed_until = old.unnamed_until;
   if (next.row.former == old_owner) {
     next.former_hold = old.owner_hold;
+    next.former_secured = old.granted;
     return;
   }
   if (old.row.former && next.row.former == old.row.former) {
     next.former_hold = old.former_hold;
+    next.former_secured = old.former_secured;
     next.released = old.released;
     next.handover = old.handover;
   }
@@ -44,7 +47,8 @@
 }
 
 bool GrantDuty::IsFree(const RowState& row, BootTime now) {
-  return (!row.row.former || now >= row.former_hold.end()) &&
+  return now >= row.unnamed_until &&
+         (!row.row.former || now >= row.former_hold.end()) &&
          std::ranges::all_of(row.superseded,
                              [now](const SupersededOwner& superseded) {
                                return now >= superseded.hold.end();
@@ -81,6 +85,7 @@
   if (at == calls_.end())
     return;
   const KeyCall call = std::move(at->second.call);
+  const FormerOwner callee{call.upstream, at->second.row_token};
   calls_.erase(at);
   const BootTime end = now + options_.times.Stretched(call.hold);
   const bool sent = result != KeyCallResult::kUnreachable;
@@ -92,11 +97,8 @@
   for (RowState& row : state.rows) {
     if (!row.row.keys.Overlaps(call.keys))
       continue;
-    const bool to_owner =
-        row.row.owner == call.upstream && row.row.token == call.token;
-    const bool to_former = row.row.former &&
-                           row.row.former->upstream == call.upstream &&
-                           row.row.former->token == call.token;
+    const bool to_owner = FormerOwner{row.row.owner, row.row.token} == callee;
+    const bool to_former = row.row.former == callee;
     if (call.kind == KeyCall::Kind::kRelease) {
       if (!to_former || row.release_call != id)
         continue;
@@ -118,7 +120,7 @@
         hold.OnNotSent();
     };
     for (SupersededOwner& superseded : row.superseded) {
-      if (superseded.owner == FormerOwner{call.upstream, call.token})
+      if (superseded.owner == callee)
         record(superseded.hold);
     }
     if (to_former)
@@ -129,6 +131,7 @@
     row.grant_sent |= sent;
     if (result == KeyCallResult::kDone) {
       row.granted = true;
+      row.owner_hold.OnFenced();
       row.failures = 0;
       state.avoided.erase(call.upstream.name);
       continue;
@@ -192,7 +195,7 @@
                               RowState& row,
                               BootTime now,
                               DutyActions& actions) {
-  if (now < changes_from_)
+  if (now < changes_from_ && !row.former_secured)
     return;
   if (row.row.former && !row.released && !row.release_call &&
       now >= row.next_release && now < row.former_hold.end() &&
@@ -207,10 +210,10 @@
       call.upstream = row.row.former->upstream;
       call.address = former->address;
       call.keys = row.row.keys;
-      call.token = row.row.former->token;
+      call.token = CallToken(row.row.former->token);
       call.valid_until = confirmed_at_ + options_.times.term_lapse;
       row.release_call = call.id;
-      calls_[call.id] = {call};
+      calls_[call.id] = {call, row.row.former->token};
       actions.calls.push_back(std::move(call));
     }
   }
@@ -233,14 +236,14 @@
   call.upstream = row.row.owner;
   call.address = upstream.address;
   call.keys = row.row.keys;
-  call.token = row.row.token;
+  call.token = CallToken(row.row.token);
   call.hold = options_.times.hold;
   call.handover = row.handover;
   call.valid_until = confirmed_at_ + options_.times.term_lapse;
   row.next_grant = now + options_.times.renew_every;
   row.grant_sent = true;
   row.owner_hold.OnSent();
-  calls_[call.id] = {call};
+  calls_[call.id] = {call, row.row.token};
   actions.calls.push_back(std::move(call));
 }
 
@@ -264,11 +267,16 @@
   return candidates;
 }
 
+bool GrantDuty::MayChange(const RowState& row, BootTime now) const {
+  return now >= changes_from_ || (row.granted && !row.row.moving);
+}
+
 std::vector<KeyRange> GrantDuty::PinnedRows(const ServiceState& state,
-                                            BootTime now) {
+                                            BootTime now) const {
   std::vector<KeyRange> pinned;
   for (const RowState& row : state.rows) {
-    if (row.owner_hold.unanswered_end() > now + kMaxMovePause)
+    if (!MayChange(row, now) ||
+        row.owner_hold.unanswered_end() > now + kMaxMovePause)
       pinned.push_back(row.row.keys);
   }
   return pinned;
@@ -278,8 +286,6 @@
                                              ServiceState& state,
                                              std::uint64_t token,
                                              BootTime now) {
-  if (now < changes_from_)
-    return std::nullopt;
   KeyTable& known = tables_[service];
   KeyTable table = known;
   bool changed = false;
@@ -312,6 +318,8 @@
     row.owner = move.to;
     row.token = token;
     row.moving = true;
+    if (old == state.rows.end() ? now < changes_from_ : !MayChange(*old, now))
+      continue;
     if (old != state.rows.end()) {
       if (!MayReplan(*old, now))
         continue;
--- a/packages/grants/hold_state.h
+++ b/packages/grants/hold_state.h
@@ -31,25 +31,31 @@
   void OnLifeEnded() { *this = {}; }
   // Counts grants that another instance may have sent.
   void AssumeHeldUntil(BootTime end) {
-    unanswered_until_ = std::max(unanswered_until_, end);
+    assumed_until_ = std::max(assumed_until_, end);
   }
+  // The upstream has seen a higher token than those of the other instance, so
+  // that it refuses what is still on its way.
+  void OnFenced() { assumed_until_ = {}; }
   // For the part of the above that a release does end.
   void AssumeAnsweredUntil(BootTime end) {
     held_until_ = std::max(held_until_, end);
   }
 
   // The time until which a grant may be in effect although it was released.
-  BootTime unanswered_end() const { return unanswered_until_; }
+  BootTime unanswered_end() const {
+    return std::max(unanswered_until_, assumed_until_);
+  }
   bool HasCallPending() const { return pending_; }
   // The time after which the upstream cannot use the grant any more.
   BootTime end() const {
-    return pending_ ? BootTime::max()
-                    : std::max(held_until_, unanswered_until_);
+    return pending_ ? BootTime::max() : std::max(held_until_, unanswered_end());
   }
 
  private:
   BootTime held_until_{};
   BootTime unanswered_until_{};
+  // The same for grants of other instances.
+  BootTime assumed_until_{};
   // A grant waits to be sent or to be answered.
   bool pending_ = false;
 };
