Report upstreams at whose address another one answers

Cause: with replace_with_reuse, the address of an ended upstream goes to another service, whose upstream answers key calls with 400: no proof. Requests do get the proof, a 421 with another name. It now goes into the load reports for 15 s, and ends the holds at once. An answer to a request that was sent before the life was known proves nothing.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -34,6 +34,9 @@
 // How long requests wait after the owner of their keys said that it is none: a
 // new owner is known within this time, or the grant has arrived.
 constexpr milliseconds kDoubtPause{80};
+// How long reports name an upstream that has ended: a new holder of the
+// granting duty must hear of it, too.
+constexpr std::chrono::seconds kReplacedReported{15};
 constexpr nanoseconds kDefaultLatency = milliseconds(50);
 constexpr milliseconds kMinRetryAfter{100};
 constexpr milliseconds kMaxRetryAfter{3000};
@@ -101,6 +104,7 @@
     options.first_limit = std::max<double>(entry.slots, 1);
     options.max_limit = max_limit;
     Upstream upstream{entry, UpstreamLoad(options)};
+    upstream.known_since = now;
     upstream.same_zone = entry.zone == options_.zone;
     upstream.same_region = RegionOf(options_, entry.zone) == region_;
     upstream.load.set_cold_until(now + entry.cold_remaining);
@@ -154,7 +158,13 @@
     at->second.load.OnEnded(result, elapsed, request.aim, now);
     if (result == AttemptResult::kAnswered)
       ++at->second.answered;
-    at->second.replaced |= result == AttemptResult::kReplaced;
+    // The answer to a request from before this life says nothing about it.
+    if (result == AttemptResult::kReplaced && !at->second.replaced &&
+        now - elapsed >= at->second.known_since) {
+      at->second.replaced = true;
+      service->second.replaced.push_back(
+          {{upstream_name, at->second.entry.born}, now});
+    }
   }
   if (result == AttemptResult::kMisrouted && request.key &&
       service->second.keys != nullptr) {
@@ -198,7 +208,8 @@
                                  kMinRetryAfter, kMaxRetryAfter);
 }
 
-std::map<std::string, ServiceLoad, std::less<>> Dispatcher::TakeLoad() {
+std::map<std::string, ServiceLoad, std::less<>> Dispatcher::TakeLoad(
+    BootTime now) {
   std::map<std::string, ServiceLoad, std::less<>> loads;
   for (auto& [name, service] : services_) {
     if (!service.owns_keys)
@@ -218,7 +229,12 @@
       if (row != nullptr)
         ++load.upstreams[row->owner.name].outstanding;
     }
-    if (!load.keys.empty() || !load.upstreams.empty())
+    std::erase_if(service.replaced, [now](const auto& entry) {
+      return now >= entry.second + kReplacedReported;
+    });
+    for (const auto& [life, time] : service.replaced)
+      load.replaced.push_back(life);
+    if (!load.keys.empty() || !load.upstreams.empty() || !load.replaced.empty())
       loads.emplace(name, std::move(load));
   }
   return loads;
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/boot_clock.h"
@@ -78,7 +79,7 @@
   std::chrono::nanoseconds RetryAfter(const std::string& service);
 
   // The load of services that own keys, since the last call.
-  std::map<std::string, ServiceLoad, std::less<>> TakeLoad();
+  std::map<std::string, ServiceLoad, std::less<>> TakeLoad(BootTime now);
 
  private:
   struct Upstream {
@@ -87,6 +88,7 @@
     bool same_zone = false;
     bool same_region = false;
     std::uint32_t answered = 0;
+    BootTime known_since{};
     // Another upstream answers at its address: it has ended, though the list
     // does not say so yet.
     bool replaced = false;
@@ -102,6 +104,8 @@
     // Rows, by first key, whose owner said that it does not own them, and until
     // when requests for them wait for news.
     std::map<KeyNumber, BootTime> doubtful_rows;
+    // Upstreams at whose address another one answered, and when.
+    std::vector<std::pair<UpstreamLife, BootTime>> replaced;
   };
   enum class Choice { kSend, kWait, kNoUpstream, kNoOwner };
   struct Decision {
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -287,6 +287,37 @@
   CHECK(wrong <= 1);
 }
 
+// The granting instance hears of such an upstream, but not of one that was
+// listed anew after the request was sent.
+TEST_CASE("Dispatcher reports an upstream whose address was reused") {
+  Bench bench;
+  bench.plan.services["soil"].owns_keys = true;
+  bench.Add("gone", "a1", 8);
+  KeyAssignment row;
+  row.owner = {"gone", 1ms};
+  KeyTable table;
+  table.Assign(row);
+  bench.dispatcher.SetKeys("soil", &table, At(0ms));
+  DispatchRequest request = bench.Request(1, At(10ms));
+  request.key = 5;
+  bench.dispatcher.Submit(request, At(10ms));
+  REQUIRE(bench.recorder.sent.size() == 1);
+  SECTION("sent to this life") {
+    bench.End("gone", AttemptResult::kReplaced, 5ms, At(15ms));
+    const auto load = bench.dispatcher.TakeLoad(At(20ms));
+    REQUIRE(load.contains("soil"));
+    REQUIRE(load.at("soil").replaced.size() == 1);
+    CHECK(load.at("soil").replaced[0] == UpstreamLife{"gone", 1ms});
+    CHECK(bench.dispatcher.TakeLoad(At(1000ms)).contains("soil"));
+    CHECK_FALSE(bench.dispatcher.TakeLoad(At(20s)).contains("soil"));
+  }
+  SECTION("sent before this life was known") {
+    bench.End("gone", AttemptResult::kReplaced, 60ms, At(15ms));
+    const auto load = bench.dispatcher.TakeLoad(At(20ms));
+    CHECK(load.at("soil").replaced.empty());
+  }
+}
+
 // Load pattern: keys that moved without notice. The budget for repeats must not
 // be spent on an owner that is none.
 TEST_CASE("Dispatcher sends one request at a time to a doubtful owner") {
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -67,7 +67,7 @@
                          std::string_view request_id,
                          std::chrono::nanoseconds retry_after) const;
   std::map<std::string, ServiceLoad, std::less<>> TakeLoad() {
-    return dispatcher_.TakeLoad();
+    return dispatcher_.TakeLoad(BootClock::now());
   }
   // Refuses the requests that have not been sent, since this instance ends.
   void RefuseWaiting();
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -19,6 +19,8 @@
 // hears within a second that its turn has passed on.
 constexpr milliseconds kKeepInterval{1000};
 constexpr milliseconds kHolderPatience{1900};
+// An upstream that has ended gets no keys while the list still names it.
+constexpr milliseconds kReplacedPause{4000};
 // Between changes of the tables. A record holds all rows, and every instance
 // hears of it, so that large tables change less often.
 constexpr milliseconds kChangeSpacing{20};
@@ -317,8 +319,13 @@
     return;
   for (const auto& [service, load] : report.services) {
     const auto at = services_.find(service);
-    if (at != services_.end() && at->second.owns_keys)
-      at->second.load.Add(report.instance, load, now);
+    if (at == services_.end() || !at->second.owns_keys)
+      continue;
+    at->second.load.Add(report.instance, load, now);
+    for (const UpstreamLife& life : load.replaced) {
+      OnLifeEnded(at->second, life);
+      at->second.avoided[life.name] = now + kReplacedPause;
+    }
   }
 }
 
--- a/packages/grants/grant_duty_test.cc
+++ b/packages/grants/grant_duty_test.cc
@@ -405,6 +405,35 @@
   CHECK(granted);
 }
 
+// Load pattern: addresses that go to other services. The new upstream there may
+// answer key calls with an error that proves nothing (lochmoor-heatcalc
+// trouble-3), but requests find out.
+TEST_CASE(
+    "GrantDuty moves the keys of an upstream that was reported replaced") {
+  GrantDuty duty = MakeHolder(2);
+  LoadReport report;
+  report.instance = "front-2";
+  report.services["geodata"].replaced = {{"u1", 1ms}};
+  const auto parsed = ParseLoadReport(EncodeLoadReport(report));
+  REQUIRE(parsed);
+  duty.OnLoad(*parsed, At(1500ms));
+  bool granted = false;
+  for (auto time = 1500ms; time < 2500ms; time += 10ms) {
+    duty.OnLog({}, duty.next_offset(), At(time), At(time));
+    const DutyActions actions = duty.Poll(At(time));
+    if (actions.append)
+      duty.OnAppendEnded(DutyAppendResult::kDone, At(time), At(time));
+    for (const KeyCall& call : actions.calls) {
+      const bool lost = call.upstream.name == "u1";
+      granted |= !lost && call.keys.first >= kKeyCount / 2;
+      duty.OnCallEnded(call.id,
+                       lost ? KeyCallResult::kRejected : KeyCallResult::kDone,
+                       "", At(time));
+    }
+  }
+  CHECK(granted);
+}
+
 // A restart of the holder long after its own wait must not freeze assignments
 // for another wait.
 TEST_CASE("GrantDuty records that its wait is over") {
--- a/packages/grants/load_report.cc
+++ b/packages/grants/load_report.cc
@@ -24,8 +24,11 @@
     json::object upstreams;
     for (const auto& [upstream, share] : load.upstreams)
       upstreams[upstream] = json::array{share.outstanding, share.answered};
-    services[name] =
-        json::array{json::value(std::move(keys)), std::move(upstreams)};
+    json::array replaced;
+    for (const UpstreamLife& life : load.replaced)
+      replaced.push_back(json::array{life.name, life.born.count()});
+    services[name] = json::array{json::value(std::move(keys)),
+                                 std::move(upstreams), std::move(replaced)};
   }
   return json::serialize(json::object{{"i", report.instance},
                                       {"z", report.zone},
@@ -49,6 +52,12 @@
             share.as_array().at(0).to_number<std::uint32_t>(),
             share.as_array().at(1).to_number<std::uint32_t>()};
       }
+      for (const json::value& life : parts.as_array().at(2).as_array()) {
+        load.replaced.push_back(
+            {JsonText(life.as_array().at(0)),
+             std::chrono::milliseconds(
+                 life.as_array().at(1).to_number<std::int64_t>())});
+      }
     }
     return report;
   } catch (const std::exception&) {
--- a/packages/grants/load_report.h
+++ b/packages/grants/load_report.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "grants/key_assignment.h"
 #include "grants/key_range.h"
 
 namespace pollenrudder {
@@ -27,6 +28,9 @@
   // The key of each request that arrived.
   std::vector<KeyNumber> keys;
   std::map<std::string, UpstreamShare, std::less<>> upstreams;
+  // Upstreams that have ended: another one answered at their address. Repeated
+  // for a while, since a report may be lost.
+  std::vector<UpstreamLife> replaced;
 };
 
 // A report. It is sent often and may be lost.
