--- a/packages/grants/grant_duty_rows.cc
+++ b/packages/grants/grant_duty_rows.cc
@@ -61,16 +61,17 @@
   for (const KeyAssignment& row : table.rows()) {
     RowState next;
     next.row = row;
-    for (const RowState& old : state.rows) {
-      if (!old.row.keys.Overlaps(row.keys))
-        continue;
-      if (old.row.owner == row.owner && old.row.token == row.token) {
-        next = old;
+    // Both are in the order of the keys.
+    const auto old = std::ranges::lower_bound(
+        state.rows, row.keys.first, {},
+        [](const RowState& known) { return known.row.keys.last; });
+    if (old != state.rows.end() && old->row.keys.Overlaps(row.keys)) {
+      if (old->row.owner == row.owner && old->row.token == row.token) {
+        next = *old;
         next.row = row;
-        break;
+      } else {
+        CarryHolds(*old, next);
       }
-      CarryHolds(old, next);
-      break;
     }
     rows.push_back(std::move(next));
   }
