--- a/packages/grants/key_planner.cc
+++ b/packages/grants/key_planner.cc
@@ -59,7 +59,9 @@
     }
     const std::vector<KeyNumber> samples = load.SortedKeys(now);
     for (const KeyAssignment& row : table.rows())
-      AddRow(row, samples, std::ranges::binary_search(pinned, row.keys));
+      AddRow(row, samples,
+             std::ranges::binary_search(pinned, row.keys.first, {},
+                                        &KeyRange::first));
     for (const KeyRange& gap : table.Gaps())
       ownerless_.push_back({gap, Within(samples, gap)});
   }
--- a/packages/grants/key_planner_test.cc
+++ b/packages/grants/key_planner_test.cc
@@ -153,6 +153,7 @@
   std::vector<KeyNumber> hot_keys;
   for (auto time = 100ms; time <= 2500ms; time += 100ms) {
     std::vector<KeyNumber> keys;
+    keys.reserve(36);
     for (int request = 0; request < 20; ++request)
       keys.push_back(static_cast<KeyNumber>(any(random)));
     for (int request = 0; time > 1000ms && request < 8; ++request) {
