Let one piece of code serve where two stood

- SocketAcceptor: the accept and retry loop of EntryInstance and ProbeServer.
- HttpServer: ProbeServer, whose name no longer fitted, and StandinServer of the tests.
- Reporters: what KeyDutyDriver kept of the instances that report, with tests.
- PathOf: Forwarder had written it again; packages/callers had it before.
- loopback_test.h: free addresses and loops of the tests that use sockets.

No change in behaviour. A target's fragment is now cut from the path on the platform as in document mode; no proper request has one.

--- a/packages/callers/key_extractor.cc
+++ b/packages/callers/key_extractor.cc
@@ -77,10 +77,6 @@
 
 }  // namespace
 
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find_first_of("?#"));
-}
-
 bool HasDotSegments(std::string_view path) {
   // Almost no path has any of these characters next to a slash.
   if (path.find("/.") == std::string_view::npos &&
--- a/packages/callers/key_extractor.h
+++ b/packages/callers/key_extractor.h
@@ -12,9 +12,6 @@
 
 namespace pollenrudder {
 
-// Returns the path of a target, without the query.
-std::string_view PathOf(std::string_view target);
-
 // Returns whether a path has "." or ".." segments, plain or percent-encoded.
 // An upstream could resolve them to a path of another service or key.
 bool HasDotSegments(std::string_view path);
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -8,7 +8,6 @@
 
 #include "base/event_log.h"
 #include "entry/entry_events.h"
-#include "entry/socket_options.h"
 
 namespace pollenrudder {
 namespace {
@@ -16,7 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kHousekeepingInterval{500};
-constexpr milliseconds kAcceptPause{50};
 // While leaving: how often to look whether all is done.
 constexpr milliseconds kLeaveInterval{50};
 // New callers are accepted for this long after the start of a leave: until then
@@ -86,7 +84,6 @@
             protocol,
             *metrics_,
             *this),
-      acceptor_(io),
       relay_(io, settings.list_interval, *this),
       plan_relay_(io, *this),
       housekeeping_timer_(io),
@@ -96,26 +93,36 @@
 EntryInstance::~EntryInstance() = default;
 
 Result<void> EntryInstance::Listen() {
-  const auto listening = ListenOn(acceptor_, settings_.caller_address);
-  if (!listening)
-    return listening.error();
-  const auto answer = [this](std::string_view path) {
-    return AnswerProbe(path);
+  auto acceptor = SocketAcceptor::Listen(
+      io_, settings_.caller_address,
+      [this](boost::asio::ip::tcp::socket socket) {
+        const auto link = CallerLink::Create(std::move(socket), *this);
+        links_.insert(link);
+        link->Start();
+      });
+  if (!acceptor)
+    return acceptor.error();
+  acceptor_ = std::move(acceptor.value());
+  const auto answer = [this](const HttpRequest& request,
+                             const HttpServer::Respond& respond) {
+    respond(AnswerProbe(PathOf(request.target)));
   };
-  auto probe = ProbeServer::Listen(io_, settings_.probe_address, answer);
+  auto probe = HttpServer::Listen(io_, settings_.probe_address, answer);
   if (!probe)
     return probe.error();
   probe_ = std::move(probe.value());
   if (!settings_.metrics_address.empty()) {
-    auto metrics = ProbeServer::Listen(io_, settings_.metrics_address, answer);
+    auto metrics = HttpServer::Listen(io_, settings_.metrics_address, answer);
     if (!metrics)
       return metrics.error();
     metrics_server_ = std::move(metrics.value());
   }
   // Datagrams and connections of other instances come to one port.
-  auto plans = ProbeServer::Listen(
+  auto plans = HttpServer::Listen(
       io_, settings_.report_address,
-      [this](std::string_view path) { return plan_relay_.Answer(path); });
+      [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+        respond(plan_relay_.Answer(PathOf(request.target)));
+      });
   if (!plans)
     return plans.error();
   plan_server_ = std::move(plans.value());
@@ -124,33 +131,10 @@
     return channel.error();
   channel_ = std::move(channel.value());
   duty_.Start(*channel_);
-  Accept();
   ScheduleHousekeeping();
   return boost::outcome_v2::success();
 }
 
-void EntryInstance::Accept() {
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
-      return;
-    if (!error) {
-      const auto link = CallerLink::Create(std::move(socket), *this);
-      links_.insert(link);
-      link->Start();
-      Accept();
-      return;
-    }
-    // Out of descriptors, for example: try again after others are closed.
-    const auto timer =
-        std::make_shared<boost::asio::steady_timer>(io_, kAcceptPause);
-    timer->async_wait([this, timer](boost::system::error_code timer_error) {
-      if (!timer_error)
-        Accept();
-    });
-  });
-}
-
 void EntryInstance::OnPlan(std::shared_ptr<const RoutePlan> plan,
                            std::shared_ptr<const PlanDocument> document) {
   // Readings of the store may arrive out of order; a version never reverts.
@@ -220,7 +204,8 @@
   RelayedNews news =
       relay_.MakeNews(plan_ ? plan_->version : 0, duty_.duty().last_change());
   if (plan_relay_.IsKept()) {
-    news.plan_sources = duty_.OneReporterPerZone(news.plan_version);
+    news.plan_sources =
+        duty_.reporters().OnePerZone(news.plan_version, BootClock::now());
     news.plan_sources[settings_.zone] = settings_.report_address;
   }
   return news;
@@ -327,10 +312,8 @@
 
 void EntryInstance::CheckLeft() {
   const auto passed = BootClock::now() - leave_began_;
-  if (passed >= kAcceptWhileLeaving && acceptor_.is_open()) {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-  }
+  if (passed >= kAcceptWhileLeaving && acceptor_->IsOpen())
+    acceptor_->Close();
   if (passed >= settings_.grace_period - kRefuseMargin)
     forwarder_.RefuseWaiting();
   if (passed >= settings_.grace_period - kEndMargin)
@@ -339,13 +322,13 @@
   const std::vector<std::shared_ptr<CallerLink>> links(links_.begin(),
                                                        links_.end());
   for (const auto& link : links) {
-    if (acceptor_.is_open())
+    if (acceptor_->IsOpen())
       link->StartLeaving();
     else
       link->StopReading();
   }
   const bool done =
-      !acceptor_.is_open() && links_.empty() && forwarder_.active_count() == 0;
+      !acceptor_->IsOpen() && links_.empty() && forwarder_.active_count() == 0;
   if (done || passed >= settings_.grace_period - kLeaveMargin) {
     EventLog::Write(kEntryStopped, {{"instance", settings_.instance},
                                     {"requests", forwarder_.active_count()}});
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/metrics.h"
@@ -19,11 +18,12 @@
 #include "entry/caller_link_owner.h"
 #include "entry/entry_settings.h"
 #include "entry/forwarder.h"
+#include "entry/http_server.h"
 #include "entry/instance_channel.h"
 #include "entry/key_duty_driver.h"
 #include "entry/news_relay.h"
 #include "entry/plan_relay.h"
-#include "entry/probe_server.h"
+#include "entry/socket_acceptor.h"
 #include "entry/upstream_protocol.h"
 #include "fleet/feed_control.h"
 #include "fleet/fleet.h"
@@ -83,7 +83,6 @@
                 DutyLog& log);
 
   Result<void> Listen();
-  void Accept();
   // Applies the changes and returns those that matter for routing.
   std::vector<FleetChange> ApplyChanges(
       const std::vector<FleetChange>& changes);
@@ -133,11 +132,11 @@
   Forwarder forwarder_;
   KeyDutyDriver duty_;
   std::shared_ptr<const RoutePlan> plan_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  std::unique_ptr<ProbeServer> probe_;
-  std::unique_ptr<ProbeServer> metrics_server_;
+  std::unique_ptr<SocketAcceptor> acceptor_;
+  std::unique_ptr<HttpServer> probe_;
+  std::unique_ptr<HttpServer> metrics_server_;
   // What other instances of the zone ask for.
-  std::unique_ptr<ProbeServer> plan_server_;
+  std::unique_ptr<HttpServer> plan_server_;
   std::unique_ptr<InstanceChannel> channel_;
   NewsRelay relay_;
   PlanRelay plan_relay_;
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -64,10 +64,6 @@
   return "unknown";
 }
 
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
 }  // namespace
 
 Forwarder::Forwarder(boost::asio::io_context& io,
--- a/packages/entry/probe_server.cc
+++ b/packages/entry/http_server.cc
@@ -1,11 +1,10 @@
-// ProbeServer over Boost.Asio.
+// HttpServer over Boost.Asio.
 
-#include "entry/probe_server.h"
+#include "entry/http_server.h"
 
-#include <chrono>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -16,12 +15,11 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 1024;
-constexpr std::chrono::milliseconds kAcceptPause{50};
 
 }  // namespace
 
-class ProbeServer::Connection
-    : public std::enable_shared_from_this<ProbeServer::Connection> {
+class HttpServer::Connection
+    : public std::enable_shared_from_this<HttpServer::Connection> {
  public:
   Connection(boost::asio::ip::tcp::socket socket, const Handler& handler)
       : socket_(std::move(socket)), handler_(handler) {
@@ -53,12 +51,17 @@
     }
     if (status != ParseStatus::kDone)
       return;
-    const HttpRequest& request = parser_->request();
-    const bool close = !request.keep_alive;
-    const std::string_view path =
-        std::string_view(request.target).substr(0, request.target.find('?'));
-    answer_ = FormatResponse(handler_(path), request.method == "HEAD", close);
+    const HttpRequest request = std::move(parser_->request());
     parser_.reset();
+    handler_(request,
+             [self = shared_from_this(), head = request.method == "HEAD",
+              close = !request.keep_alive](const HttpResponse& response) {
+               self->Answer(response, head, close);
+             });
+  }
+
+  void Answer(const HttpResponse& response, bool head_request, bool close) {
+    answer_ = FormatResponse(response, head_request, close);
     boost::asio::async_write(
         socket_, boost::asio::buffer(answer_),
         [self = shared_from_this(), close](boost::system::error_code error,
@@ -76,39 +79,21 @@
   std::string answer_;
 };
 
-Result<std::unique_ptr<ProbeServer>> ProbeServer::Listen(
+Result<std::unique_ptr<HttpServer>> HttpServer::Listen(
     boost::asio::io_context& io,
     const std::string& address,
     Handler handler) {
-  std::unique_ptr<ProbeServer> server(new ProbeServer(io, std::move(handler)));
-  const auto listening = ListenOn(server->acceptor_, address);
-  if (!listening)
-    return listening.error();
-  server->Accept();
+  std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
+  auto acceptor = SocketAcceptor::Listen(
+      io, address,
+      [server = server.get()](boost::asio::ip::tcp::socket socket) {
+        std::make_shared<Connection>(std::move(socket), server->handler_)
+            ->Read();
+      });
+  if (!acceptor)
+    return acceptor.error();
+  server->acceptor_ = std::move(acceptor.value());
   return server;
 }
 
-ProbeServer::ProbeServer(boost::asio::io_context& io, Handler handler)
-    : acceptor_(io), handler_(std::move(handler)) {}
-
-void ProbeServer::Accept() {
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted)
-      return;
-    if (!error) {
-      std::make_shared<Connection>(std::move(socket), handler_)->Read();
-      Accept();
-      return;
-    }
-    // Out of descriptors, for example: try again after others are closed.
-    const auto timer = std::make_shared<boost::asio::steady_timer>(
-        acceptor_.get_executor(), kAcceptPause);
-    timer->async_wait([this, timer](boost::system::error_code timer_error) {
-      if (!timer_error)
-        Accept();
-    });
-  });
-}
-
 }  // namespace pollenrudder
--- a/packages/entry/key_duty_driver.cc
+++ b/packages/entry/key_duty_driver.cc
@@ -27,8 +27,6 @@
 // So many reports without load are left out between two that are sent to stay
 // among the receivers of news.
 constexpr int kEmptyReportsLeftOut = 2;
-// Instances whose reports have not come for this long get no updates.
-constexpr std::chrono::seconds kReporterLife{5};
 constexpr milliseconds kHolderPoll{40};
 constexpr milliseconds kFollowerPoll{250};
 // The base interval of load reports, for up to kReportersAtBase instances; it
@@ -103,10 +101,6 @@
     link->Abort();
 }
 
-bool KeyDutyDriver::Reporter::IsAlive(BootTime now) const {
-  return now < last_report + kReporterLife;
-}
-
 void KeyDutyDriver::Start(InstanceChannel& channel) {
   channel_ = &channel;
   Join();
@@ -119,7 +113,7 @@
   if (stopping_)
     return;
   stopping_ = true;
-  const Reporter* successor = StrongestReporter(BootClock::now());
+  const Reporters::Reporter* successor = reporters_.Strongest(BootClock::now());
   duty_.Stop(successor == nullptr ? std::string() : successor->instance);
   join_timer_.cancel();
   Poll();
@@ -130,10 +124,7 @@
 bool KeyDutyDriver::OnLoad(const LoadReport& report,
                            const std::string& sender) {
   const BootTime now = BootClock::now();
-  Reporter& reporter = reporters_[sender];
-  const bool is_new = !reporter.IsAlive(now);
-  reporter = {is_new ? now : reporter.first_report, now, report.instance,
-              report.zone, report.cores};
+  const bool is_new = reporters_.OnReport(report, sender, now);
   duty_.OnLoad(report, now);
   return is_new;
 }
@@ -164,50 +155,7 @@
 
 void KeyDutyDriver::SendToReporters(const RelayedNews& news) {
   if (duty_.IsHolder())
-    channel_->Send(LiveReporters(BootClock::now()), news);
-}
-
-InstanceChannel::Addresses KeyDutyDriver::LiveReporters(BootTime now) const {
-  InstanceChannel::Addresses addresses;
-  for (const auto& [address, reporter] : reporters_) {
-    if (reporter.IsAlive(now))
-      addresses.push_back(address);
-  }
-  return addresses;
-}
-
-std::map<std::string, std::string, std::less<>>
-KeyDutyDriver::OneReporterPerZone(std::uint64_t turn) const {
-  const BootTime now = BootClock::now();
-  struct Strongest {
-    double cores = 0;
-    std::vector<std::string> addresses;
-  };
-  std::map<std::string, Strongest, std::less<>> by_zone;
-  for (const auto& [address, reporter] : reporters_) {
-    if (!reporter.IsAlive(now))
-      continue;
-    Strongest& strongest = by_zone[reporter.zone];
-    if (reporter.cores > strongest.cores)
-      strongest = {reporter.cores, {}};
-    if (reporter.cores >= strongest.cores)
-      strongest.addresses.push_back(address);
-  }
-  std::map<std::string, std::string, std::less<>> chosen;
-  for (const auto& [zone, strongest] : by_zone)
-    chosen[zone] = strongest.addresses[turn % strongest.addresses.size()];
-  return chosen;
-}
-
-const KeyDutyDriver::Reporter* KeyDutyDriver::StrongestReporter(
-    BootTime now) const {
-  const Reporter* strongest = nullptr;
-  for (const auto& [address, reporter] : reporters_) {
-    if (reporter.IsAlive(now) &&
-        (strongest == nullptr || reporter.cores > strongest->cores))
-      strongest = &reporter;
-  }
-  return strongest;
+    channel_->Send(reporters_.Addresses(BootClock::now()), news);
 }
 
 void KeyDutyDriver::ConsiderPassingOn() {
@@ -218,7 +166,7 @@
       duty_.ReplacesSuccessor() ? kPassOnPauseAfterFailure : kPassOnPause;
   if (now < holder_since_ + pause)
     return;
-  const Reporter* strongest = StrongestReporter(now);
+  const Reporters::Reporter* strongest = reporters_.Strongest(now);
   if (strongest == nullptr || strongest->cores < kFarStronger * self_.cores ||
       now < strongest->first_report + kPassOnPause)
     return;
@@ -231,11 +179,8 @@
     if (error || !resignation_.term || !duty_.term() || !duty_.term()->resigned)
       return;
     // A datagram may have been lost.
-    const auto at = std::ranges::find_if(reporters_, [this](const auto& known) {
-      return known.second.instance == resignation_.term->successor;
-    });
-    if (at != reporters_.end())
-      channel_->Send({at->first}, resignation_);
+    if (const auto address = reporters_.AddressOf(resignation_.term->successor))
+      channel_->Send({*address}, resignation_);
     ReadNow();
     WatchForSuccessor();
   });
@@ -417,7 +362,7 @@
   const std::vector<TableUpdate> updates = duty_.TakeUpdates();
   if (updates.empty())
     return;
-  const InstanceChannel::Addresses addresses = LiveReporters(now);
+  const InstanceChannel::Addresses addresses = reporters_.Addresses(now);
   for (const TableUpdate& update : updates) {
     channel_->Send(addresses, update);
     if (update.term && update.term->resigned)
--- a/packages/entry/key_duty_driver.h
+++ b/packages/entry/key_duty_driver.h
@@ -17,6 +17,7 @@
 #include "base/metrics.h"
 #include "entry/http_link.h"
 #include "entry/instance_channel.h"
+#include "entry/reporters.h"
 #include "entry/upstream_protocol.h"
 #include "fleet/fleet.h"
 #include "fleet/route_plan.h"
@@ -60,12 +61,10 @@
   void SetRelayed(bool relayed);
   // The log goes as far as `offset`, as another instance says.
   void OnLogGrown(std::uint64_t offset);
-  // The instances that report to this one, if it is the holder.
+  // To the instances that report, if this one is the holder.
   void SendToReporters(const RelayedNews& news);
-  // One of the instances that report, for each availability zone: "ip:port".
-  // `turn` spreads the choice over the strongest instances of a zone.
-  std::map<std::string, std::string, std::less<>> OneReporterPerZone(
-      std::uint64_t turn) const;
+  // The instances that report to this one, if it is the holder.
+  const Reporters& reporters() const { return reporters_; }
   // Hands the duty to another instance.
   void Stop();
   bool IsStopped() const { return duty_.IsStopped(); }
@@ -81,16 +80,6 @@
     bool busy = false;
   };
 
-  struct Reporter {
-    BootTime first_report;
-    BootTime last_report;
-    std::string instance;
-    std::string zone;
-    double cores = 1;
-
-    bool IsAlive(BootTime now) const;
-  };
-
   void Join();
   void ReadNewest();
   void ScheduleRead();
@@ -101,9 +90,6 @@
   void SendReport(const LoadReport& report);
   // Resigns in favour of an instance with far more processor time.
   void ConsiderPassingOn();
-  InstanceChannel::Addresses LiveReporters(BootTime now) const;
-  // The strongest of the other instances that report; nullptr without any.
-  const Reporter* StrongestReporter(BootTime now) const;
   // Reads the log until it names the instance that takes over.
   void WatchForSuccessor();
   void Start(const KeyCall& call);
@@ -129,8 +115,7 @@
   boost::asio::steady_timer successor_timer_;
   std::map<std::string, Channel, std::less<>> channels_;
   std::map<std::uint64_t, std::shared_ptr<HttpLink>> releases_;
-  // The instances that report, by "ip:port".
-  std::map<std::string, Reporter, std::less<>> reporters_;
+  Reporters reporters_;
   std::uint64_t seen_version_ = 0;
   std::uint32_t instances_ = 1;
   bool was_holder_ = false;
--- a/packages/entry/plan_relay_test.cc
+++ b/packages/entry/plan_relay_test.cc
@@ -13,19 +13,14 @@
 #include <catch2/catch.hpp>
 
 #include "base/socket_address.h"
-#include "entry/probe_server.h"
+#include "entry/http_server.h"
+#include "entry/loopback_test.h"
 
 namespace pollenrudder {
 namespace {
 
 using namespace std::chrono_literals;
 
-std::string FreeAddress(boost::asio::io_context& io) {
-  boost::asio::ip::tcp::acceptor acceptor(
-      io, {boost::asio::ip::address_v4::loopback(), 0});
-  return SocketAddressText(acceptor.local_endpoint());
-}
-
 struct Receiver : PlanRelay::Observer {
   explicit Receiver(boost::asio::io_context& io) : relay(io, *this) {}
 
@@ -44,10 +39,11 @@
 
   // Starts to serve what the source keeps.
   void Listen() {
-    auto listening =
-        ProbeServer::Listen(io, address, [this](std::string_view path) {
+    auto listening = HttpServer::Listen(
+        io, address,
+        [this](const HttpRequest& request, const HttpServer::Respond& respond) {
           ++asked;
-          return source.relay.Answer(path);
+          respond(source.relay.Answer(PathOf(request.target)));
         });
     REQUIRE(listening);
     server = std::move(listening.value());
@@ -59,17 +55,14 @@
   }
 
   bool RunUntil(const std::function<bool()>& done) {
-    const auto end = std::chrono::steady_clock::now() + 20s;
-    while (!done() && std::chrono::steady_clock::now() < end)
-      io.run_one_for(20ms);
-    return done();
+    return pollenrudder::RunUntil(io, done);
   }
 
   boost::asio::io_context io{1};
   const std::string address = FreeAddress(io);
   Receiver source;
   Receiver receiver;
-  std::unique_ptr<ProbeServer> server;
+  std::unique_ptr<HttpServer> server;
   int asked = 0;
 };
 
--- a/packages/entry/socket_options.cc
+++ b/packages/entry/socket_options.cc
@@ -7,8 +7,6 @@
 
 #include <boost/asio/socket_base.hpp>
 
-#include "base/socket_address.h"
-
 namespace pollenrudder {
 namespace {
 
@@ -37,26 +35,6 @@
   SetOption(socket, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
-Result<void> ListenOn(boost::asio::ip::tcp::acceptor& acceptor,
-                      const std::string& address) {
-  const auto endpoint = EndpointOf(address);
-  boost::system::error_code error;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true),
-                        error);
-  }
-  if (!error)
-    acceptor.bind(endpoint, error);
-  if (!error)
-    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return MakeError(ErrorKind::kInvalidSettings,
-                     "cannot listen on " + address + ": " + error.message());
-  }
-  return boost::outcome_v2::success();
-}
-
 void CloseAbruptly(boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/packages/entry/socket_options.h
+++ b/packages/entry/socket_options.h
@@ -3,23 +3,14 @@
 #ifndef POLLENRUDDER_ENTRY_SOCKET_OPTIONS_H_
 #define POLLENRUDDER_ENTRY_SOCKET_OPTIONS_H_
 
-#include <string>
-
 #include <boost/asio/ip/tcp.hpp>
 
-#include "base/result.h"
-
 namespace pollenrudder {
 
 // Sends small messages at once, and ends connections whose other side has gone
 // silent without a reset after about three seconds.
 void SetLinkOptions(boost::asio::ip::tcp::socket& socket);
 
-// Opens `acceptor` on `address`, "ip:port". Fails with kInvalidSettings if it
-// is taken.
-Result<void> ListenOn(boost::asio::ip::tcp::acceptor& acceptor,
-                      const std::string& address);
-
 // Closes with a reset, so that bytes which a partition holds up are lost.
 void CloseAbruptly(boost::asio::ip::tcp::socket& socket);
 
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -39,7 +39,7 @@
   // Takes `entries` as the whole list: others are removed.
   bool Replace(const std::vector<ListedUpstream>& entries, BootTime now);
 
-  // Call when the list answers again after an outage that began at `since`.
+  // Call when the list answers again after an outage.
   void OnListReturned(BootTime now);
 
   // Removes the entries whose pause is over; returns whether there were any.
--- a/packages/grants/grant_duty.cc
+++ b/packages/grants/grant_duty.cc
@@ -167,8 +167,12 @@
 }
 
 TermRecord GrantDuty::MakeClaim() const {
-  return {options_.instance,  options_.life,    options_.report_address,
-          /*resigned=*/false, WaitAfterClaim(), milliseconds(0),         {}};
+  TermRecord term;
+  term.instance = options_.instance;
+  term.life = options_.life;
+  term.report_address = options_.report_address;
+  term.wait = WaitAfterClaim();
+  return term;
 }
 
 TermRecord GrantDuty::MakeResignation(BootTime now) const {
@@ -184,14 +188,13 @@
         unanswered = std::max(unanswered, superseded.hold.end());
     }
   }
-  return {options_.instance,
-          options_.life,
-          options_.report_address,
-          /*resigned=*/true,
-          std::chrono::ceil<milliseconds>(
-              std::max<std::chrono::nanoseconds>(changes_from_ - now, {})),
-          std::chrono::ceil<milliseconds>(unanswered - now),
-          successor_};
+  TermRecord term = *term_;
+  term.resigned = true;
+  term.wait = std::chrono::ceil<milliseconds>(
+      std::max<std::chrono::nanoseconds>(changes_from_ - now, {}));
+  term.unanswered = std::chrono::ceil<milliseconds>(unanswered - now);
+  term.successor = successor_;
+  return term;
 }
 
 void GrantDuty::Stop(const std::string& successor) {
--- a/packages/http/deflate.cc
+++ b/packages/http/deflate.cc
@@ -3,6 +3,7 @@
 #include "http/deflate.h"
 
 #include <algorithm>
+#include <cassert>
 
 #include <boost/beast/zlib/deflate_stream.hpp>
 #include <boost/beast/zlib/inflate_stream.hpp>
@@ -34,6 +35,7 @@
   boost::system::error_code error;
   // The output has room for all, so that one step finishes.
   stream.write(step, zlib::Flush::finish, error);
+  assert(error == zlib::error::end_of_stream);
   bytes.resize(step.total_out);
   return bytes;
 }
--- a/packages/http/http_message.cc
+++ b/packages/http/http_message.cc
@@ -29,6 +29,10 @@
 
 }  // namespace
 
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find_first_of("?#"));
+}
+
 bool HeaderNamesEqual(std::string_view first, std::string_view second) {
   return std::ranges::equal(first, second, {}, ToLower, ToLower);
 }
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -56,6 +56,9 @@
                   std::string_view name,
                   std::uint64_t value);
 
+// Returns the path of a request target, without query and fragment.
+std::string_view PathOf(std::string_view target);
+
 // Returns whether two header names are equal, ignoring case.
 bool HeaderNamesEqual(std::string_view first, std::string_view second);
 
