Wait for a voter of the own zone before first terms are proposed

Cause: the instance that starts first lists no other one of its zone and proposes first terms without a voter there.

Change: for a second after its first list, an instance that knows no other one of its zone proposes no first term.

Result: the new test of Controller failed before (no voter of the zone, not claimed within 2 s) and passes.

--- a/packages/ownership/claim_manager.cc
+++ b/packages/ownership/claim_manager.cc
@@ -106,6 +106,9 @@
     if (entry.name != context_.self())
       candidates.push_back(entry.name);
   }
+  const bool awaits_voter =
+      candidates.size() == 1 &&
+      context_.directory.ListAge(context_.now.boot) < kSameZoneVoterDelay;
   CandidateTimes candidate_times;
   TermRecord record;
   for (const ListedInstance& listed : context_.directory.instances()) {
@@ -120,8 +123,8 @@
     candidate_times[listed.name] = since == first_term_candidates_.end()
                                        ? context_.now.boot
                                        : since->second;
-    if (HasWaitedForRank(candidate_times, listed.name, candidates,
-                         kFirstTermDelay))
+    if (!awaits_voter && HasWaitedForRank(candidate_times, listed.name,
+                                          candidates, kFirstTermDelay))
       record.entries.push_back(MakeFirstEntry(listed, leases));
   }
   first_term_candidates_ = std::move(candidate_times);
--- a/packages/ownership/claim_manager.h
+++ b/packages/ownership/claim_manager.h
@@ -32,6 +32,11 @@
   // Candidates propose a first term one after another at this interval, which
   // normally exceeds the time of an append and its read.
   static constexpr std::chrono::milliseconds kFirstTermDelay{500};
+  // How long after its first instance list an instance waits for another one of
+  // its availability zone before it proposes first terms. A term without a
+  // voter of its own zone can be claimed only by voters of other zones, which
+  // wait for the isolation hold.
+  static constexpr std::chrono::milliseconds kSameZoneVoterDelay{1000};
   // Candidates send a declared_lost claim one after another at this interval.
   static constexpr std::chrono::milliseconds kDeclaredLostDelay{300};
 
--- a/packages/ownership/controller_test.cc
+++ b/packages/ownership/controller_test.cc
@@ -2,6 +2,8 @@
 
 #include "ownership/controller.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "controller_fixture_test.h"
@@ -41,6 +43,41 @@
   REQUIRE(fixture.violations().empty());
 }
 
+// Guards against a first term without a voter of its own zone, which an
+// instance proposes that starts before the others: after its loss, only voters
+// of other zones could claim the term, 6.9 s later (test_daemon_killed).
+TEST_CASE("an instance that starts first waits for a voter of its zone") {
+  ControllerFixture fixture;
+  fixture.AddInstance("b1", "b");
+  const std::string first = fixture.AddInstance("a1", "a");
+  fixture.AddUpstream("u1", "geodata", "a");
+  fixture.Publish("ground", ShardedSection("ground", "geodata", 16));
+  fixture.Run(300ms);
+  const std::string second = fixture.AddInstance("a2", "a");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.Sender("u1").empty(); }, 3s));
+  const std::string leader = fixture.Sender("u1");
+  const TermState* term = fixture.Table().FindTerm("u1");
+  REQUIRE(term != nullptr);
+  CHECK(std::ranges::any_of(
+      term->voters, [](const Voter& voter) { return voter.zone == "a"; }));
+  fixture.Kill(leader);
+  CHECK(fixture.RunUntil(
+      [&] {
+        return fixture.Sender("u1") == (leader == first ? second : first);
+      },
+      2s));
+}
+
+// Guards against a zone with one instance whose upstreams get no leader.
+TEST_CASE("an instance that stays alone in its zone proposes first terms") {
+  ControllerFixture fixture;
+  fixture.AddInstance("b1", "b");
+  const std::string alone = fixture.AddInstance("a1", "a");
+  fixture.AddUpstream("u1", "geodata", "a");
+  fixture.Publish("ground", ShardedSection("ground", "geodata", 16));
+  CHECK(fixture.RunUntil([&] { return fixture.Sender("u1") == alone; }, 3s));
+}
+
 TEST_CASE("one record moves all shards of a lost upstream") {
   ControllerFixture fixture;
   StartZone(fixture);
--- a/packages/ownership/instance_directory.h
+++ b/packages/ownership/instance_directory.h
@@ -25,6 +25,10 @@
   const std::vector<ListedInstance>& instances() const { return instances_; }
   // Whether a list was ever received.
   bool has_list() const { return first_list_at_.has_value(); }
+  // Returns the time since the first list was received.
+  std::chrono::nanoseconds ListAge(BootTime now) const {
+    return first_list_at_ ? now - *first_list_at_ : std::chrono::nanoseconds(0);
+  }
 
   // Return the entry instance or the upstream with this name, or null.
   const ListedInstance* FindEntry(std::string_view name) const;
