--- a/packages/dispatch/attempt_result.h
+++ b/packages/dispatch/attempt_result.h
@@ -19,6 +19,10 @@
   kReplaced,
   // The connection could not be opened, so no byte of the request was sent.
   kUnreachable,
+  // This instance did not send the request, because the upstream began to leave
+  // or the caller disconnected while the connection was opened. Not evidence
+  // about the upstream.
+  kNotSent,
   // The request may have run: the connection was lost or the response is
   // invalid.
   kLost,
@@ -34,7 +38,8 @@
   return result == AttemptResult::kShed ||
          result == AttemptResult::kMisrouted ||
          result == AttemptResult::kReplaced ||
-         result == AttemptResult::kUnreachable;
+         result == AttemptResult::kUnreachable ||
+         result == AttemptResult::kNotSent;
 }
 
 }  // namespace pollenrudder
--- a/packages/dispatch/dispatch_listener.h
+++ b/packages/dispatch/dispatch_listener.h
@@ -18,6 +18,9 @@
  public:
   virtual ~DispatchListener() = default;
 
+  // Called right before a send. Returns true if the caller has gone, in which
+  // case the dispatcher drops the request without any further callback.
+  virtual bool DropIfAbandoned(const DispatchRequest& request) = 0;
   virtual void OnSend(const DispatchRequest& request,
                       const ListedUpstream& upstream) = 0;
   // `kind` is one of the kNotRun kinds. `retry_after` is the time after which
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -55,6 +55,13 @@
   return nanoseconds(static_cast<std::int64_t>(count));
 }
 
+// The number of requests that each instance may have at an upstream if all of
+// them send to it. Besides the slots, the upstream has a queue.
+double LimitPerInstance(std::uint32_t slots, std::uint32_t instances) {
+  constexpr double kPlacesPerSlot = 2;
+  return std::min(1.0, kPlacesPerSlot * std::max(slots, 1U) / instances);
+}
+
 std::string RegionOf(const Dispatcher::Options& options,
                      const std::string& zone) {
   const auto at = options.region_of_zone.find(zone);
@@ -85,8 +92,11 @@
       return entry == nullptr || !entry->SameIncarnation(known.second.entry) ||
              entry->service != known.second.entry.service;
     });
-    for (auto& [upstream_name, upstream] : service.upstreams)
+    for (auto& [upstream_name, upstream] : service.upstreams) {
       upstream.estimate.set_max_limit(max_limit);
+      upstream.estimate.set_min_limit(
+          LimitPerInstance(upstream.entry.slots, instances));
+    }
   }
   for (const auto& [name, entry] : fleet.upstreams()) {
     const auto service = services_.find(entry.service);
@@ -106,6 +116,7 @@
     options.initial_latency = MeanLatency(service->second, now);
     options.initial_limit = std::max<double>(entry.slots, 1);
     options.max_limit = max_limit;
+    options.min_limit = LimitPerInstance(entry.slots, instances);
     Upstream upstream{entry, UpstreamEstimate(options)};
     upstream.listed_since = now;
     upstream.same_zone = entry.zone == options_.zone;
@@ -180,6 +191,16 @@
   ProcessQueue(service->second, now);
 }
 
+bool Dispatcher::MaySendTo(std::string_view service,
+                           const ListedUpstream& upstream) const {
+  const auto known = services_.find(service);
+  if (known == services_.end())
+    return false;
+  const auto at = known->second.upstreams.find(upstream.name);
+  return at != known->second.upstreams.end() && at->second.IsUsable() &&
+         at->second.entry.SameIncarnation(upstream);
+}
+
 void Dispatcher::Tick(BootTime now) {
   for (auto& [name, service] : services_)
     ProcessQueue(service, now);
@@ -203,12 +224,10 @@
              : at->second.estimate.ExpectedLatency(now);
 }
 
-nanoseconds Dispatcher::RetryAfter(const std::string& service) {
-  DispatchRequest request;
-  request.service = service;
-  request.priority = ~0U;
-  const BootTime now = BootTime{};
-  const nanoseconds wait = ExpectedWait(services_[service], request, now);
+nanoseconds Dispatcher::RetryAfter(const DispatchRequest& request,
+                                   BootTime now) {
+  const nanoseconds wait =
+      ExpectedWait(services_[request.service], request, now);
   const double jitter = 0.75 + 0.5 * Draw();
   return std::clamp<nanoseconds>(FromCount(ToCount(wait) * jitter),
                                  kMinRetryAfter, kMaxRetryAfter);
@@ -334,6 +353,12 @@
   const Decision decision = Decide(service, request, now);
   switch (decision.choice) {
     case Choice::kSend:
+      if (now >= request.deadline) {
+        Refuse(request, ErrorKind::kNotRunOverloaded, kMinRetryAfter);
+        return true;
+      }
+      if (listener_.DropIfAbandoned(request))
+        return true;
       decision.upstream->estimate.OnSent();
       listener_.OnSend(request, decision.upstream->entry);
       return true;
@@ -386,9 +411,11 @@
           row->keys.Contains(*other.key))
         ++ahead;
     }
-    return FromCount(ToCount(at->second.estimate.ExpectedLatency(now)) *
-                     static_cast<double>(ahead) /
-                     std::max(1.0, at->second.estimate.limit()));
+    const UpstreamEstimate& estimate = at->second.estimate;
+    const nanoseconds pause =
+        std::max<nanoseconds>(estimate.paused_until() - now, nanoseconds(0));
+    return pause + FromCount(ToCount(estimate.ExpectedInterval(now)) *
+                             static_cast<double>(ahead));
   }
   for (const auto& [name, upstream] : service.upstreams) {
     if (upstream.IsUsable() && upstream.same_region &&
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -69,6 +69,11 @@
                std::chrono::nanoseconds elapsed,
                BootTime now);
 
+  // Returns whether the upstream to which a request is being sent may still get
+  // it. It may have begun to leave while the connection was opened.
+  bool MaySendTo(std::string_view service,
+                 const ListedUpstream& upstream) const;
+
   // Sends and refuses the queued requests that are due. Call it every few tens
   // of milliseconds while requests are queued.
   void Tick(BootTime now);
@@ -78,8 +83,10 @@
   std::chrono::nanoseconds ExpectedLatency(std::string_view service,
                                            std::string_view upstream,
                                            BootTime now) const;
-  // Returns after how long the service is likely to have capacity again.
-  std::chrono::nanoseconds RetryAfter(const std::string& service);
+  // Returns after how long there is likely to be capacity for a request like
+  // this one.
+  std::chrono::nanoseconds RetryAfter(const DispatchRequest& request,
+                                      BootTime now);
 
   // Returns the load, since the last call, of the services whose upstreams own
   // keys.
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,9 @@
               const ListedUpstream& upstream) override {
     sent.emplace_back(request.id, upstream.name);
   }
+  bool DropIfAbandoned(const DispatchRequest& request) override {
+    return abandoned.contains(request.id);
+  }
   void OnRefuse(const DispatchRequest& request,
                 ErrorKind kind,
                 std::chrono::nanoseconds retry_after) override {
@@ -46,6 +50,8 @@
 
   std::vector<std::pair<std::uint64_t, std::string>> sent;
   std::vector<Refusal> refused;
+  // The requests whose callers have gone.
+  std::set<std::uint64_t> abandoned;
 };
 
 struct Fixture {
@@ -372,5 +378,28 @@
   CHECK(fixture.recorder.sent.size() == 1);
 }
 
+// Guards against work for callers that have gone: an instance that was short of
+// processor time sent requests on 5 s after their callers had left
+// (cumbre-chalet-grown fresh-07a9, lochmoor-heatcalc-large trouble-1).
+TEST_CASE("Dispatcher drops a request whose caller has gone or that is late") {
+  Fixture fixture;
+  fixture.Add("u-1", "a1", 1);
+  fixture.recorder.abandoned = {1, 3};
+  fixture.dispatcher.Submit(fixture.Request(1, At(0ms)), At(0ms));
+  CHECK(fixture.recorder.sent.empty());
+  CHECK(fixture.recorder.refused.empty());
+  // The dropped request occupies no capacity.
+  fixture.dispatcher.Submit(fixture.Request(2, At(0ms)), At(0ms));
+  CHECK(fixture.recorder.sent.size() == 1);
+  fixture.dispatcher.Submit(fixture.Request(3, At(10ms)), At(10ms));
+  fixture.End("u-1", AttemptResult::kAnswered, 50ms, At(50ms));
+  CHECK(fixture.recorder.sent.size() == 1);
+  CHECK_FALSE(fixture.dispatcher.HasWaiting());
+  fixture.dispatcher.Submit(fixture.Request(4, At(0ms)), At(1000ms));
+  CHECK(fixture.recorder.sent.size() == 1);
+  REQUIRE(fixture.recorder.refused.size() == 1);
+  CHECK(fixture.recorder.refused[0].id == 4);
+}
+
 }  // namespace
 }  // namespace pollenrudder
--- a/packages/dispatch/upstream_estimate.cc
+++ b/packages/dispatch/upstream_estimate.cc
@@ -18,7 +18,13 @@
 constexpr double kEarlyShare = 0.6;
 constexpr double kLateShare = 1.0;
 constexpr double kShrinkFactor = 0.75;
-constexpr double kMinLimit = 1;
+// Below this part of one request at a time, an instance pauses between requests
+// after a rejection. With fewer instances a place soon becomes free for the
+// next request.
+constexpr double kMaxPausedLimit = 0.25;
+// The pause after a rejection, as a fraction of the latency, at the limit
+// kMaxPausedLimit. It is inversely proportional to the limit.
+constexpr double kBasePauseShare = 1;
 // Ejection times after consecutive failures, doubled with each one.
 constexpr std::chrono::milliseconds kBaseEjection{100};
 constexpr std::chrono::milliseconds kMaxEjection{1600};
@@ -41,7 +47,7 @@
                                BootTime now) {
   assert(in_flight_ > 0);
   --in_flight_;
-  if (result == AttemptResult::kCanceled)
+  if (result == AttemptResult::kCanceled || result == AttemptResult::kNotSent)
     return;
   const bool failed =
       result != AttemptResult::kAnswered && result != AttemptResult::kMisrouted;
@@ -55,17 +61,22 @@
       latency_ns_ += kLatencyWeight * (sample - latency_ns_);
       last_response_ = now;
       if (elapsed < latency_objective * kEarlyShare)
-        limit_ = std::min(limit_ + 1 / limit_, options_.max_limit);
+        limit_ = std::min(limit_ < 1 ? 2 * limit_ : limit_ + 1 / limit_,
+                          options_.max_limit);
       else if (elapsed > latency_objective * kLateShare)
         Shrink(now);
       return;
     }
     case AttemptResult::kShed:
-      Shrink(now);
+      if (in_flight_ == 0 && options_.min_limit <= kMaxPausedLimit)
+        Pause(now);
+      else
+        Shrink(now);
       return;
     case AttemptResult::kMisrouted:
     case AttemptResult::kReplaced:
     case AttemptResult::kCanceled:
+    case AttemptResult::kNotSent:
       return;
     case AttemptResult::kTimedOut:
       latency_ns_ +=
@@ -87,11 +98,11 @@
 }
 
 bool UpstreamEstimate::HasCapacity(BootTime now) const {
-  if (IsEjected(now))
+  if (IsEjected(now) || now < paused_until_)
     return false;
   if (consecutive_failures_ > 1)
     return in_flight_ == 0;
-  return in_flight_ + 1 <= limit_ + 0.01;
+  return in_flight_ + 1 <= std::max(limit_, 1.0) + 0.01;
 }
 
 std::chrono::nanoseconds UpstreamEstimate::ExpectedLatency(BootTime now) const {
@@ -109,8 +120,14 @@
   return std::chrono::nanoseconds(static_cast<std::int64_t>(latency));
 }
 
+std::chrono::nanoseconds UpstreamEstimate::ExpectedInterval(
+    BootTime now) const {
+  return std::chrono::nanoseconds(static_cast<std::int64_t>(
+      static_cast<double>(ExpectedLatency(now).count()) / limit_));
+}
+
 void UpstreamEstimate::set_max_limit(double limit) {
-  options_.max_limit = std::max(limit, kMinLimit);
+  options_.max_limit = std::max(limit, 1.0);
   limit_ = std::min(limit_, options_.max_limit);
 }
 
@@ -122,7 +139,15 @@
   if (now - last_shrink_ < min_interval)
     return;
   last_shrink_ = now;
-  limit_ = std::max(kMinLimit, limit_ * kShrinkFactor);
+  limit_ = std::max(1.0, limit_ * kShrinkFactor);
+}
+
+void UpstreamEstimate::Pause(BootTime now) {
+  limit_ = std::clamp(limit_ / 2, options_.min_limit, kMaxPausedLimit);
+  const double pause =
+      latency_ns_ * kBasePauseShare * (kMaxPausedLimit / limit_);
+  paused_until_ =
+      now + std::chrono::nanoseconds(static_cast<std::int64_t>(pause));
 }
 
 }  // namespace pollenrudder
--- a/packages/dispatch/upstream_estimate.h
+++ b/packages/dispatch/upstream_estimate.h
@@ -18,7 +18,9 @@
 // The limit of requests in flight grows while responses arrive well within the
 // latency objective, and shrinks when they are late or requests are rejected.
 // In this way, instances that share an upstream find their part of its capacity
-// without coordination.
+// without coordination. If that part is less than one request at a time, as at
+// the owner of a hot key that hundreds of instances send to, the limit is below
+// 1: requests are sent one by one, with a pause between them.
 class UpstreamEstimate {
  public:
   struct Options {
@@ -26,6 +28,9 @@
     std::chrono::nanoseconds initial_latency = std::chrono::milliseconds(50);
     double initial_limit = 2;
     double max_limit = 8;
+    // The part of one request at a time that is left for each instance if all
+    // of them send to the upstream; at most 1.
+    double min_limit = 1;
   };
 
   explicit UpstreamEstimate(const Options& options);
@@ -43,6 +48,11 @@
   bool HasCapacity(BootTime now) const;
   // Returns whether the upstream is ejected because it seems to be down.
   bool IsEjected(BootTime now) const { return now < ejected_until_; }
+  // Returns the earliest time at which the next request may be sent because of
+  // the pause between requests; HasCapacity() includes it.
+  BootTime paused_until() const { return paused_until_; }
+  // Returns the expected time between two requests.
+  std::chrono::nanoseconds ExpectedInterval(BootTime now) const;
   // Returns the expected latency of one more request.
   std::chrono::nanoseconds ExpectedLatency(BootTime now) const;
   // The fraction of the recent requests that failed or were rejected, 0 to 1.
@@ -51,11 +61,14 @@
   std::uint32_t in_flight() const { return in_flight_; }
   double limit() const { return limit_; }
   void set_max_limit(double limit);
+  void set_min_limit(double limit) { options_.min_limit = limit; }
   // Until then the upstream runs at half speed, according to the instance list.
   void set_cold_until(BootTime time) { cold_until_ = time; }
 
  private:
   void Shrink(BootTime now);
+  // After a rejection while this instance had no other request in flight.
+  void Pause(BootTime now);
 
   Options options_;
   std::uint32_t in_flight_ = 0;
@@ -66,6 +79,7 @@
   BootTime ejected_until_{};
   BootTime last_response_{};
   BootTime last_shrink_{};
+  BootTime paused_until_{};
   BootTime cold_until_{};
 };
 
--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -57,6 +57,17 @@
          (!parser_ || !parser_->started());
 }
 
+bool CallerConnection::HasPeerClosed() {
+  if (closed_)
+    return true;
+  char byte = 0;
+  boost::system::error_code error;
+  socket_.receive(boost::asio::buffer(&byte, 1),
+                  boost::asio::ip::tcp::socket::message_peek, error);
+  return error && error != boost::asio::error::would_block &&
+         error != boost::asio::error::interrupted;
+}
+
 void CallerConnection::StartLeaving() {
   leaving_ = true;
   if (IsIdle() && BootClock::now() - idle_since_ > kFirstRequestGrace)
--- a/packages/entry/caller_connection.h
+++ b/packages/entry/caller_connection.h
@@ -50,6 +50,9 @@
   // Closes the connection without sending the outstanding responses.
   void Abort();
 
+  // Returns whether the caller has closed its side, including an end of the
+  // stream that has arrived and was not read yet.
+  bool HasPeerClosed();
   // Returns whether no request is unanswered and none has begun to arrive.
   bool IsIdle() const;
   // Sends the response to the last request read with "Connection: close", and
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -20,6 +20,10 @@
 // New callers are accepted for this long after the start of a planned stop:
 // until then the load balancer may still send them.
 constexpr milliseconds kAcceptWhileLeaving{2600};
+// A relay of a zone that has lost the leader sends updates of its own after at
+// most this part of the list interval. The instances that it feeds wait for
+// them: if all read the list, they fill the link between the regions.
+constexpr double kRelayTakeoverShare = 0.55;
 // The process ends this long before it would be killed.
 constexpr milliseconds kExitMargin{150};
 // Requests that have not been sent to an upstream are refused this long before
@@ -29,6 +33,10 @@
 // the grace period.
 constexpr milliseconds kAbortMargin{400};
 
+// Responses may take this part of the memory while they are received. They are
+// copied once more for the caller.
+constexpr std::size_t kResponseMemoryDivisor = 8;
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -40,6 +48,7 @@
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.retry_window = settings.retry_window;
+  options.response_bytes = settings.memory_bytes / kResponseMemoryDivisor;
   return options;
 }
 
@@ -169,9 +178,11 @@
     const bool was_listed = fleet_.Find(change.name) != nullptr;
     const bool changed = fleet_.Apply(change, now);
     // A removal that is delayed here is still relayed to the other instances.
-    if (!changed && (change.entry || !was_listed))
+    if (!changed && !change.repeated && (change.entry || !was_listed))
       continue;
     relevant.push_back(change);
+    if (!changed && change.repeated)
+      continue;
     if (!change.entry) {
       EventLog::Write(kUpstreamUnlisted, {{"upstream", change.name}});
       continue;
@@ -196,22 +207,35 @@
 }
 
 void EntryInstance::OnFleetSnapshot(
+    std::uint64_t previous_position,
     std::uint64_t position,
     const std::vector<ListedUpstream>& entries) {
-  if (fleet_.Replace(entries, BootClock::now()))
-    ApplyFleet();
+  const auto changes = fleet_.ReplaceAndCompare(entries, BootClock::now());
+  ApplyFleet();
   ScheduleRemovals();
-  // The changes before this position are not known individually.
-  update_relay_.OnListRead(position, position, {});
+  // With the differences, the other instances need not read the whole list,
+  // which hundreds of them would do at once after the store has dropped its
+  // history.
+  if (changes && previous_position > 0)
+    update_relay_.OnListRead(previous_position, position, *changes);
+  else
+    update_relay_.OnListRead(position, position, {});
   SendUpdate();
 }
 
+bool EntryInstance::SendsOwnUpdates() const {
+  const GrantCoordinator& coordinator = grant_driver_.coordinator();
+  if (coordinator.IsLeader())
+    return coordinator.IsActive(BootClock::now());
+  return grant_driver_.IsZoneRelay() && !update_relay_.IsRelayActive();
+}
+
 void EntryInstance::SendUpdate() {
-  if (grant_driver_.coordinator().IsLeader())
+  if (SendsOwnUpdates())
     grant_driver_.SendToInstances(MakeUpdate());
 }
 
-RelayedUpdate EntryInstance::MakeUpdate() const {
+RelayedUpdate EntryInstance::MakeUpdate() {
   RelayedUpdate update = update_relay_.MakeUpdate(
       configuration_ ? configuration_->version : 0,
       grant_driver_.coordinator().last_change_offset());
@@ -220,6 +244,7 @@
         update.configuration_version, BootClock::now());
     update.configuration_sources[settings_.zone] = settings_.report_address;
   }
+  grant_driver_.AddTopologyTo(update);
   return update;
 }
 
@@ -228,20 +253,39 @@
   const bool is_new = grant_driver_.OnLoadReport(report, sender);
   // A new instance reads the store itself until it receives an update from the
   // leader.
-  if (is_new && grant_driver_.coordinator().IsLeader())
-    channel_->Send({sender}, MakeUpdate());
+  if (!is_new)
+    return;
+  if (SendsOwnUpdates())
+    channel_->Send({sender}, MakeUpdate(), grant_driver_.HopOfOwnUpdates());
+  else if (update_relay_.IsRelayActive())
+    channel_->Send({sender}, last_update_, InstanceChannel::Hop::kForwarded);
+}
+
+void EntryInstance::OnTableUpdate(const TableUpdate& update,
+                                  InstanceChannel::Hop hop) {
+  grant_driver_.OnTableUpdate(update, hop);
 }
 
-void EntryInstance::OnTableUpdate(const TableUpdate& update) {
-  grant_driver_.OnTableUpdate(update);
+void EntryInstance::OnUpdatesRequested(std::uint64_t next_offset,
+                                       const std::string& sender) {
+  grant_driver_.OnUpdatesRequested(next_offset, sender);
 }
 
-void EntryInstance::OnRelayedUpdate(const RelayedUpdate& update) {
+void EntryInstance::OnRelayedUpdate(const RelayedUpdate& update,
+                                    InstanceChannel::Hop hop) {
   // The leader reads the store itself.
   if (grant_driver_.coordinator().IsLeader())
     return;
-  update_relay_.OnRelayedUpdate(update,
-                                configuration_ ? configuration_->version : 0);
+  last_update_ = update;
+  grant_driver_.OnRelayedUpdate(update);
+  if (hop == InstanceChannel::Hop::kDirect)
+    grant_driver_.SendToInstances(update);
+  update_relay_.OnRelayedUpdate(
+      update, configuration_ ? configuration_->version : 0,
+      hop == InstanceChannel::Hop::kForwarded
+          ? std::chrono::duration_cast<std::chrono::nanoseconds>(
+                settings_.list_interval * kRelayTakeoverShare)
+          : std::chrono::nanoseconds(0));
   grant_driver_.OnLogEnd(update.grant_log_offset);
 }
 
@@ -268,6 +312,10 @@
   feeds_->ReadConfigurationNow();
 }
 
+void EntryInstance::OnUpdateLate() {
+  grant_driver_.ReportToLeader();
+}
+
 void EntryInstance::OnRelayChanged(bool active) {
   EventLog::Write(active ? kRelayStarted : kRelayStopped, {});
   grant_driver_.SetRelayActive(active);
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -74,7 +74,8 @@
   void OnFleetChanges(std::uint64_t from,
                       std::uint64_t to,
                       const std::vector<FleetChange>& changes) override;
-  void OnFleetSnapshot(std::uint64_t position,
+  void OnFleetSnapshot(std::uint64_t previous_position,
+                       std::uint64_t position,
                        const std::vector<ListedUpstream>& entries) override;
   void OnListUnavailable() override;
   void OnListAvailable() override;
@@ -91,7 +92,12 @@
       const std::vector<FleetChange>& changes);
   void ApplyFleet();
   void SendUpdate();
-  RelayedUpdate MakeUpdate() const;
+  // Whether this instance sends the changes that it reads to others: as the
+  // leader whose term is confirmed, or as the relay of its zone while it gets
+  // no updates itself. A leader that lost contact may have been replaced; those
+  // that it reaches must not rely on its updates.
+  bool SendsOwnUpdates() const;
+  RelayedUpdate MakeUpdate();
   void ScheduleHousekeeping();
   void ScheduleRemovals();
   void CheckLeaveProgress();
@@ -117,12 +123,17 @@
   // InstanceChannel::Listener:
   void OnLoadReport(const LoadReport& report,
                     const std::string& sender) override;
-  void OnTableUpdate(const TableUpdate& update) override;
-  void OnRelayedUpdate(const RelayedUpdate& update) override;
+  void OnTableUpdate(const TableUpdate& update,
+                     InstanceChannel::Hop hop) override;
+  void OnRelayedUpdate(const RelayedUpdate& update,
+                       InstanceChannel::Hop hop) override;
+  void OnUpdatesRequested(std::uint64_t next_offset,
+                          const std::string& sender) override;
 
   // UpdateRelay::Observer:
   void OnRelayedChanges(const std::vector<FleetChange>& changes) override;
   void OnNewerConfiguration(const RelayedUpdate& update) override;
+  void OnUpdateLate() override;
   void OnRelayChanged(bool active) override;
 
   // ConfigurationRelay::Observer:
@@ -146,6 +157,8 @@
   std::unique_ptr<HttpServer> configuration_server_;
   std::unique_ptr<InstanceChannel> channel_;
   UpdateRelay update_relay_;
+  // The update that was received last, for instances that begin to report.
+  RelayedUpdate last_update_;
   ConfigurationRelay configuration_relay_;
   FeedControl* feeds_ = nullptr;
   std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -4,6 +4,7 @@
 #define POLLENRUDDER_ENTRY_ENTRY_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -17,6 +18,8 @@
   std::map<std::string, std::string, std::less<>> region_of_zone;
   // The processor time that this instance may use, in cores.
   double cores = 1;
+  // The memory that this instance may use.
+  std::size_t memory_bytes = std::size_t{160} << 20;
   // Addresses as "ip:port".
   std::string caller_address;
   std::string probe_address;
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -10,6 +10,7 @@
 #include "base/event_log.h"
 #include "base/socket_address.h"
 #include "entry/caller_connection.h"
+#include "entry/duration_text.h"
 #include "entry/entry_events.h"
 
 namespace pollenrudder {
@@ -37,11 +38,6 @@
 constexpr milliseconds kDefaultRetryAfter{500};
 constexpr milliseconds kConnectTimeout{1000};
 
-std::string Milliseconds(nanoseconds time) {
-  using Fraction = std::chrono::duration<double, std::milli>;
-  return std::to_string(Fraction(time).count());
-}
-
 std::string_view Name(AttemptResult result) {
   switch (result) {
     case AttemptResult::kAnswered:
@@ -56,6 +52,8 @@
       return "replaced";
     case AttemptResult::kUnreachable:
       return "unreachable";
+    case AttemptResult::kNotSent:
+      return "not_sent";
     case AttemptResult::kLost:
       return "lost";
     case AttemptResult::kTimedOut:
@@ -77,6 +75,7 @@
       metrics_(metrics),
       options_(std::move(options)),
       dispatcher_(options_.dispatch, *this),
+      response_budget_(options_.response_bytes),
       started_(BootClock::now()),
       tick_timer_(io),
       random_(options_.dispatch.seed) {}
@@ -203,13 +202,7 @@
       ++it;
       continue;
     }
-    metrics_.Count("entry_requests_abandoned_total");
-    EventLog::WriteLazily(kRequestAbandoned, [&] {
-      return std::vector<LogField>{
-          {"request", request.request_id},
-          {"sends", request.sends},
-          {"after_ms", Milliseconds(now - request.dispatch.arrived)}};
-    });
+    RecordAbandoned(request, now);
     const DispatchRequest dispatch = request.dispatch;
     const std::optional<ListedUpstream> upstream = request.upstream;
     const BootTime sent_at = request.sent_at;
@@ -227,6 +220,19 @@
   }
 }
 
+bool Forwarder::DropIfAbandoned(const DispatchRequest& dispatch) {
+  const auto it = requests_.find(dispatch.id);
+  assert(it != requests_.end());
+  // An instance that is short of processor time may read a request and the end
+  // of its connection together, and finds the end only after the request.
+  const auto caller = it->second.caller.lock();
+  if (caller && !caller->HasPeerClosed())
+    return false;
+  RecordAbandoned(it->second, BootClock::now());
+  requests_.erase(it);
+  return true;
+}
+
 void Forwarder::OnSend(const DispatchRequest& dispatch,
                        const ListedUpstream& upstream) {
   const auto it = requests_.find(dispatch.id);
@@ -246,6 +252,8 @@
   options.timeout = left + kResponseGrace * 2;
   options.connect_timeout = kConnectTimeout;
   options.head_request = request.message.method == "HEAD";
+  options.response_budget = &response_budget_;
+  options.may_send = [this, id = dispatch.id] { return MayStillSend(id); };
   options.accepts_response =
       [this, id = request.request_id](const HttpResponse& response) {
         return protocol_.IsResponseTo(response, id);
@@ -259,6 +267,17 @@
       });
 }
 
+bool Forwarder::MayStillSend(std::uint64_t id) const {
+  const auto it = requests_.find(id);
+  if (it == requests_.end())
+    return false;
+  const ActiveRequest& request = it->second;
+  const auto caller = request.caller.lock();
+  return caller && !caller->HasPeerClosed() &&
+         BootClock::now() < request.dispatch.deadline &&
+         dispatcher_.MaySendTo(request.dispatch.service, *request.upstream);
+}
+
 AttemptResult Forwarder::ClassifyAttempt(HttpCallResult result,
                                          const HttpResponse& response,
                                          const std::string& upstream) const {
@@ -266,6 +285,8 @@
     case HttpCallResult::kRefused:
     case HttpCallResult::kNotConnected:
       return AttemptResult::kUnreachable;
+    case HttpCallResult::kNotSent:
+      return AttemptResult::kNotSent;
     case HttpCallResult::kConnectionLost:
     case HttpCallResult::kInvalidResponse:
       return AttemptResult::kLost;
@@ -324,10 +345,12 @@
     Deliver(it, response);
   } else if (!request.may_have_run) {
     Fail(it,
-         result == AttemptResult::kUnreachable ? ErrorKind::kNotRunUnreachable
+         result == AttemptResult::kUnreachable ||
+                 result == AttemptResult::kNotSent
+             ? ErrorKind::kNotRunUnreachable
          : result == AttemptResult::kMisrouted ? ErrorKind::kNotRunMoved
                                                : ErrorKind::kNotRunOverloaded,
-         dispatcher_.RetryAfter(dispatch.service));
+         dispatcher_.RetryAfter(dispatch, now));
   } else {
     Fail(it,
          result == AttemptResult::kTimedOut ? ErrorKind::kUnknownDeadline
@@ -362,7 +385,8 @@
     return false;
   // The attempt did not reach an upstream, so the next one needs no retry
   // budget.
-  if (result == AttemptResult::kUnreachable)
+  if (result == AttemptResult::kUnreachable ||
+      result == AttemptResult::kNotSent)
     return true;
   return RetryBudgetOf(request.dispatch.service).TryConsumeRetry(now);
 }
@@ -450,96 +474,6 @@
   ScheduleTick();
 }
 
-void Forwarder::Deliver(Requests::iterator it, const HttpResponse& response) {
-  const BootTime now = BootClock::now();
-  ActiveRequest request = std::move(it->second);
-  requests_.erase(it);
-  const nanoseconds total = now - request.dispatch.arrived;
-  metrics_.Count("entry_requests_served_total",
-                 "service=\"" + request.dispatch.service + '"');
-  metrics_.Observe("entry_answer_seconds",
-                   "service=\"" + request.dispatch.service + '"', total);
-  EventLog::WriteLazily(kRequestServed, [&] {
-    return std::vector<LogField>{
-        {"request", request.request_id},
-        {"status", response.status},
-        {"route", request.route},
-        {"plan", request.configuration_version},
-        {"upstream", request.dispatch.tried.back()},
-        {"sends", request.sends},
-        {"waited_ms", Milliseconds(request.sent_at - request.dispatch.arrived)},
-        {"total_ms", Milliseconds(total)}};
-  });
-  if (const auto caller = request.caller.lock())
-    caller->SendResponse(request.sequence, response, /*close=*/false);
-}
-
-void Forwarder::Fail(Requests::iterator it,
-                     ErrorKind kind,
-                     nanoseconds retry_after) {
-  const BootTime now = BootClock::now();
-  ActiveRequest request = std::move(it->second);
-  requests_.erase(it);
-  const bool not_run = DescribeError(kind).outcome == Outcome::kNotRun;
-  metrics_.Count(
-      not_run ? "entry_requests_refused_total" : "entry_requests_failed_total",
-      "kind=\"" + std::string(DescribeError(kind).name) + '"');
-  EventLog::WriteLazily(not_run ? kRequestRefused : kRequestFailed, [&] {
-    return std::vector<LogField>{
-        {"request", request.request_id},
-        {"kind", DescribeError(kind).name},
-        {"route", request.route},
-        {"service", request.dispatch.service},
-        {"plan", request.configuration_version},
-        {"upstream", request.dispatch.tried.empty()
-                         ? std::string("none")
-                         : request.dispatch.tried.back()},
-        {"sends", request.sends},
-        {"after_ms", Milliseconds(now - request.dispatch.arrived)},
-        {"retry_after_ms", Milliseconds(retry_after)}};
-  });
-  if (const auto caller = request.caller.lock()) {
-    caller->SendResponse(
-        request.sequence,
-        MakeErrorResponse(kind, request.request_id, retry_after),
-        /*close=*/false);
-  }
-}
-
-void Forwarder::OnRefuse(const DispatchRequest& dispatch,
-                         ErrorKind kind,
-                         nanoseconds retry_after) {
-  const auto it = requests_.find(dispatch.id);
-  assert(it != requests_.end());
-  // An earlier attempt may have run the request, so the response must not state
-  // that it has not run.
-  if (it->second.may_have_run)
-    Fail(it, ErrorKind::kUnknownUpstreamLost, nanoseconds(0));
-  else
-    Fail(it, kind, retry_after);
-}
-
-HttpResponse Forwarder::MakeErrorResponse(ErrorKind kind,
-                                          std::string_view request_id,
-                                          nanoseconds retry_after) const {
-  const ErrorDescription& error = DescribeError(kind);
-  HttpResponse response;
-  response.status = error.http_status;
-  AppendHeader(response.header_lines, "Content-Type", "text/plain");
-  AppendHeader(response.control_lines, "Pollenrudder-Error", error.name);
-  AppendHeader(response.control_lines, "Pollenrudder-Outcome",
-               OutcomeName(error.outcome));
-  if (retry_after > nanoseconds(0)) {
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.3f",
-                  std::chrono::duration<double>(retry_after).count());
-    AppendHeader(response.control_lines, "Retry-After", text);
-  }
-  protocol_.AddRouterHeaders(response, request_id);
-  response.body = std::string(error.name) + '\n';
-  return response;
-}
-
 void Forwarder::RejectUnsent() {
   std::vector<std::uint64_t> waiting;
   for (const auto& [id, request] : requests_) {
@@ -565,6 +499,8 @@
       continue;
     if (it->second.client)
       std::exchange(it->second.client, nullptr)->Abort();
+    else
+      dispatcher_.Cancel(it->second.dispatch.service, id);
     Fail(it, ErrorKind::kUnknownUpstreamLost, nanoseconds(0));
   }
 }
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -20,6 +20,7 @@
 #include "dispatch/retry_budget_share.h"
 #include "entry/active_request.h"
 #include "entry/http_client_pool.h"
+#include "entry/response_budget.h"
 #include "entry/upstream_protocol.h"
 #include "fleet/fleet.h"
 #include "fleet/router_configuration.h"
@@ -45,6 +46,8 @@
     double retry_ratio = 0.2;
     double retry_slack = 50;
     std::chrono::nanoseconds retry_window = std::chrono::seconds(10);
+    // Memory of the responses that are being received.
+    std::size_t response_bytes = 24 << 20;
   };
 
   // The arguments must outlive the forwarder.
@@ -88,6 +91,7 @@
   }
 
   // DispatchListener:
+  bool DropIfAbandoned(const DispatchRequest& request) override;
   void OnSend(const DispatchRequest& request,
               const ListedUpstream& upstream) override;
   void OnRefuse(const DispatchRequest& request,
@@ -114,6 +118,11 @@
   // Closes the connection of the attempt in progress and reports `result` to
   // the dispatcher.
   void AbortAttempt(ActiveRequest& request, AttemptResult result, BootTime now);
+  // Checks again, once the connection to the upstream is open, whether the
+  // request may be sent there.
+  bool MayStillSend(std::uint64_t id) const;
+  // Counts and logs a request whose caller disconnected.
+  void RecordAbandoned(const ActiveRequest& request, BootTime now);
   void ArmTimer(ActiveRequest& request, BootTime now);
   void OnTimer(std::uint64_t id);
   void Deliver(Requests::iterator it, const HttpResponse& response);
@@ -138,6 +147,7 @@
     std::unique_ptr<HttpClientPool> clients;
   };
   std::map<std::string, Pool, std::less<>> pools_;
+  ResponseBudget response_budget_;
   const BootTime started_;
   boost::asio::steady_timer tick_timer_;
   bool tick_pending_ = false;
--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -1,4 +1,6 @@
 // GrantDriver: timers, log calls and calls to upstreams.
+// grant_driver_reports.cc has the reports of and the updates for other
+// instances.
 
 #include "entry/grant_driver.h"
 
@@ -25,16 +27,15 @@
 // store are billed.
 constexpr milliseconds kLeaderReadInterval{700};
 constexpr milliseconds kFollowerReadInterval{1000};
-constexpr std::chrono::seconds kRelayedReadInterval{10};
-// While the relay is active, this many empty load reports are skipped before
-// one is sent. The sender remains a receiver of relayed updates that way.
-constexpr int kMaxSkippedReports = 2;
+constexpr std::chrono::seconds kRelayedReadInterval{60};
+// How long an instance waits for missed updates before it reads the log, which
+// contains whole tables.
+constexpr milliseconds kUpdateRequestTime{200};
 constexpr milliseconds kLeaderPollInterval{40};
 constexpr milliseconds kFollowerPollInterval{250};
-// The interval of load reports for up to kInstancesAtBaseInterval instances. It
-// grows with their number, so that the load of the leader does not.
-constexpr milliseconds kLoadReportInterval{150};
-constexpr std::uint32_t kInstancesAtBaseInterval = 16;
+// A poll looks at every row. With a thousand rows, a thousand calls end in a
+// second, and a poll after each would take all of the leader's processor time.
+constexpr std::chrono::microseconds kPollPausePerRow{8};
 // An instance with this many times the cores of the leader becomes the leader,
 // because the leader's work grows with the number of instances and keys. Both
 // must have been up for kTransferDelay, since each change of leader suspends
@@ -84,6 +85,7 @@
     : io_(io),
       coordinator_(options),
       self_(self),
+      address_(options.report_address),
       durations_(options.times),
       log_(log),
       protocol_(protocol),
@@ -92,8 +94,10 @@
       join_timer_(io),
       read_timer_(io),
       poll_timer_(io),
+      poll_soon_timer_(io),
       load_timer_(io),
-      successor_timer_(io) {}
+      successor_timer_(io),
+      zone_relays_(self, options.report_address) {}
 
 GrantDriver::~GrantDriver() {
   for (auto& [name, queue] : grant_queues_) {
@@ -125,17 +129,17 @@
     log_.Leave();
 }
 
-bool GrantDriver::OnLoadReport(const LoadReport& report,
-                               const std::string& sender) {
-  const BootTime now = BootClock::now();
-  const bool is_new = instance_tracker_.OnLoadReport(report, sender, now);
-  coordinator_.OnLoadReport(report, now);
-  return is_new;
-}
-
-void GrantDriver::OnTableUpdate(const TableUpdate& update) {
-  if (!coordinator_.OnTableUpdate(update, BootClock::now()))
-    ReadLog();
+void GrantDriver::OnTableUpdate(const TableUpdate& update,
+                                InstanceChannel::Hop hop) {
+  const bool is_new = update.offset >= coordinator_.next_offset();
+  const bool applied = coordinator_.OnTableUpdate(update, BootClock::now());
+  // Without the updates before it, the others could not apply this one either:
+  // they get what this instance reads from the log. A term is collected when it
+  // is applied and sent with the next changes.
+  if (hop == InstanceChannel::Hop::kDirect && is_new && applied &&
+      !update.term && !coordinator_.IsLeader())
+    SendUpdate(update);
+  ReadLogIfNeeded();
   PublishChanges();
   if (!update.term)
     return;
@@ -145,6 +149,25 @@
   Poll();
 }
 
+void GrantDriver::ReadLogIfNeeded() {
+  if (!coordinator_.NeedsLog())
+    return;
+  const BootTime now = BootClock::now();
+  if (now < updates_requested_until_)
+    return;
+  const std::string receiver = ReportReceiver();
+  // The second time the relay did not have the updates.
+  const bool was_requested =
+      now < updates_requested_until_ + kUpdateRequestTime;
+  if (!coordinator_.NeedsOnlyUpdates() || !relay_active_ || was_requested ||
+      receiver.empty()) {
+    ReadLog();
+    return;
+  }
+  updates_requested_until_ = now + kUpdateRequestTime;
+  channel_->RequestUpdates(receiver, coordinator_.next_offset());
+}
+
 void GrantDriver::SetRelayActive(bool active) {
   if (active == relay_active_)
     return;
@@ -154,13 +177,13 @@
 }
 
 void GrantDriver::OnLogEnd(std::uint64_t offset) {
-  if (!coordinator_.IsLeader() && offset > coordinator_.next_offset())
-    ReadLog();
+  coordinator_.OnLastChange(offset);
+  ReadLogIfNeeded();
 }
 
 void GrantDriver::SendToInstances(const RelayedUpdate& update) {
-  if (coordinator_.IsLeader())
-    channel_->Send(instance_tracker_.Addresses(BootClock::now()), update);
+  channel_->Send(instance_tracker_.Addresses(BootClock::now()), update,
+                 HopOfOwnUpdates());
 }
 
 void GrantDriver::ConsiderTransfer() {
@@ -190,7 +213,7 @@
     // The datagram with the resignation may have been lost.
     if (const auto address =
             instance_tracker_.AddressOf(resignation_.term->successor))
-      channel_->Send({*address}, resignation_);
+      channel_->Send({*address}, resignation_, InstanceChannel::Hop::kDirect);
     ReadLog();
     AwaitSuccessor();
   });
@@ -211,10 +234,29 @@
     Poll();
 }
 
+bool GrantDriver::LeavesMembershipToRelays() const {
+  return relay_active_ && !zone_relays_.addresses().empty() && !IsZoneRelay() &&
+         !coordinator_.IsLeader();
+}
+
+void GrantDriver::ScheduleJoin() {
+  join_timer_.expires_after(kJoinInterval);
+  join_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      Join();
+  });
+}
+
 void GrantDriver::Join() {
   if (stopping_)
     return;
   const BootTime sent_at = BootClock::now();
+  if (LeavesMembershipToRelays()) {
+    // The membership expires in the store.
+    coordinator_.OnPreferredLeader(false, sent_at, sent_at);
+    ScheduleJoin();
+    return;
+  }
   log_.Join([this, sent_at](const Result<GrantLog::Membership>& membership) {
     if (stopping_)
       return;
@@ -224,18 +266,12 @@
                                      BootClock::now());
       if (coordinator_.IsPreferredLeader() && !was_preferred)
         ReadLog();
-      if (membership.value().instances != instances_) {
-        instances_ = membership.value().instances;
-        observer_.OnInstanceCount(instances_);
-      }
+      if (!instances_counted_)
+        SetInstanceCount(membership.value().instances);
       ConsiderTransfer();
       Poll();
     }
-    join_timer_.expires_after(kJoinInterval);
-    join_timer_.async_wait([this](boost::system::error_code error) {
-      if (!error)
-        Join();
-    });
+    ScheduleJoin();
   });
 }
 
@@ -274,9 +310,9 @@
     return;
   reading_log_ = true;
   const BootTime sent_at = BootClock::now();
-  const bool in_order = coordinator_.IsLeader() ||
-                        coordinator_.IsPreferredLeader() ||
-                        coordinator_.NeedsLog();
+  const bool in_order =
+      coordinator_.IsLeader() || coordinator_.IsPreferredLeader() ||
+      (coordinator_.NeedsLog() && !coordinator_.NeedsOnlyUpdates());
   const auto handler = [this, sent_at,
                         in_order](const Result<GrantLog::Batch>& batch) {
     reading_log_ = false;
@@ -315,6 +351,22 @@
   });
 }
 
+void GrantDriver::PollSoon() {
+  if (polls_soon_)
+    return;
+  polls_soon_ = true;
+  std::size_t rows = 0;
+  for (const auto& [service, table] : coordinator_.tables())
+    rows += table.rows().size();
+  poll_soon_timer_.expires_after(kPollPausePerRow *
+                                 static_cast<std::int64_t>(rows));
+  poll_soon_timer_.async_wait([this](boost::system::error_code error) {
+    polls_soon_ = false;
+    if (!error)
+      Poll();
+  });
+}
+
 void GrantDriver::Poll() {
   const BootTime now = BootClock::now();
   const GrantActions actions = coordinator_.Poll(now);
@@ -329,8 +381,7 @@
   }
   for (const KeyCall& call : actions.calls)
     Start(call);
-  if (coordinator_.NeedsLog())
-    ReadLog();
+  ReadLogIfNeeded();
   PublishChanges();
 }
 
@@ -379,42 +430,14 @@
   const std::vector<TableUpdate> updates = coordinator_.TakeUpdates();
   if (updates.empty())
     return;
-  const InstanceChannel::Addresses addresses = instance_tracker_.Addresses(now);
   for (const TableUpdate& update : updates) {
-    channel_->Send(addresses, update);
-    if (update.term && update.term->resigned)
+    SendUpdate(update);
+    if (update.term && update.term->resigned &&
+        update.term->instance == self_.instance)
       resignation_ = update;
   }
 }
 
-void GrantDriver::ScheduleLoadReport() {
-  const auto interval_factor =
-      std::max(1U, instances_ / kInstancesAtBaseInterval);
-  load_timer_.expires_after(kLoadReportInterval * interval_factor);
-  load_timer_.async_wait([this](boost::system::error_code error) {
-    if (error)
-      return;
-    ScheduleLoadReport();
-    LoadReport report = self_;
-    report.services = observer_.TakeLoad();
-    // Without the relay, the first report makes the leader send updates.
-    if (report.services.empty() && relay_active_ &&
-        ++skipped_reports_ <= kMaxSkippedReports)
-      return;
-    skipped_reports_ = 0;
-    if (coordinator_.IsLeader())
-      coordinator_.OnLoadReport(report, BootClock::now());
-    else
-      SendLoadReport(report);
-  });
-}
-
-void GrantDriver::SendLoadReport(const LoadReport& report) {
-  if (!coordinator_.IsLeader() && coordinator_.term() &&
-      !coordinator_.term()->resigned)
-    channel_->Send({coordinator_.term()->report_address}, report);
-}
-
 void GrantDriver::Start(const KeyCall& call) {
   if (call.kind == KeyCall::Kind::kRelease) {
     const auto client = HttpClient::Create(io_, EndpointOf(call.address));
@@ -472,7 +495,8 @@
         if (result == HttpCallResult::kAnswered)
           outcome = protocol_.ParseKeyResponse(call, response);
         else if (result == HttpCallResult::kRefused ||
-                 result == HttpCallResult::kNotConnected)
+                 result == HttpCallResult::kNotConnected ||
+                 result == HttpCallResult::kNotSent)
           outcome.first = KeyCallResult::kUnreachable;
         const bool grant = call.kind == KeyCall::Kind::kGrant;
         metrics_.Count("key_calls_total",
@@ -493,7 +517,7 @@
         coordinator_.OnCallEnded(call.id, outcome.first, outcome.second,
                                  BootClock::now());
         on_done();
-        Poll();
+        PollSoon();
       });
 }
 
--- a/packages/entry/grant_driver.h
+++ b/packages/entry/grant_driver.h
@@ -18,7 +18,10 @@
 #include "entry/http_client.h"
 #include "entry/instance_channel.h"
 #include "entry/instance_tracker.h"
+#include "entry/load_aggregator.h"
+#include "entry/update_history.h"
 #include "entry/upstream_protocol.h"
+#include "entry/zone_relays.h"
 #include "fleet/fleet.h"
 #include "fleet/router_configuration.h"
 #include "grants/grant_coordinator.h"
@@ -59,17 +62,33 @@
   // `sender` is the "ip:port" of the sending instance. Returns whether that
   // instance had not reported within InstanceTracker::kReportTimeout.
   bool OnLoadReport(const LoadReport& report, const std::string& sender);
-  void OnTableUpdate(const TableUpdate& update);
+  void OnTableUpdate(const TableUpdate& update, InstanceChannel::Hop hop);
+  void OnUpdatesRequested(std::uint64_t next_offset, const std::string& sender);
+  // Adopts the number of instances and the relays of the zones from `update`.
+  void OnRelayedUpdate(const RelayedUpdate& update);
+  // Adds the number of instances and the relays of the zones, which the leader
+  // chooses here.
+  void AddTopologyTo(RelayedUpdate& update);
+  // Whether this instance forwards updates in its availability zone.
+  bool IsZoneRelay() const {
+    return zone_relays_.RelayOf(self_.zone) == address_;
+  }
+  // Relays forward what the leader sends, but not what another relay sends.
+  InstanceChannel::Hop HopOfOwnUpdates() const {
+    return coordinator_.IsLeader() ? InstanceChannel::Hop::kDirect
+                                   : InstanceChannel::Hop::kForwarded;
+  }
+  // Announces this instance to the leader, past the relay of its zone.
+  void ReportToLeader();
   void OnFleet(const Fleet& fleet, const RouterConfiguration& configuration);
   // While the relay is active, the log is read only when an update shows that
   // it has grown.
   void SetRelayActive(bool active);
   // Another instance reports that the log ends at `offset`.
   void OnLogEnd(std::uint64_t offset);
-  // If this instance is the leader, sends `update` to the instances that report
-  // to it.
+  // Sends `update` to the instances that report to this one.
   void SendToInstances(const RelayedUpdate& update);
-  // The instances that report to this one while it is the leader.
+  // The instances that report to this one.
   const InstanceTracker& instance_tracker() const { return instance_tracker_; }
   // Resigns, if this instance is the leader, and leaves the group of instances.
   void Stop();
@@ -88,13 +107,29 @@
   };
 
   void Join();
+  void ScheduleJoin();
   void ReadNewest();
   void ScheduleRead();
   void ReadLog();
+  // Reads the log if that is needed and the relay cannot help.
+  void ReadLogIfNeeded();
+  void SendUpdate(const TableUpdate& update);
   void Poll();
   void SchedulePoll();
+  // Polls after a pause that grows with the size of the tables.
+  void PollSoon();
   void ScheduleLoadReport();
+  // Returns how many instances report to the receiver of this one's reports.
+  std::uint32_t CountReporters() const;
   void SendLoadReport(const LoadReport& report);
+  // Returns the "ip:port" to which load reports are sent, or an empty string if
+  // it is not known.
+  std::string ReportReceiver() const;
+  std::string LeaderAddress() const;
+  // Returns whether another instance becomes the preferred leader, so that this
+  // one need not join the group.
+  bool LeavesMembershipToRelays() const;
+  void SetInstanceCount(std::uint32_t instances);
   // Transfers the grant leadership to an instance with far more cores.
   void ConsiderTransfer();
   // Reads the log until it names the instance that takes over.
@@ -109,6 +144,8 @@
   boost::asio::io_context& io_;
   GrantCoordinator coordinator_;
   const LoadReport self_;
+  // "ip:port" of this instance for reports and updates.
+  const std::string address_;
   const GrantDurations durations_;
   GrantLog& log_;
   const UpstreamProtocol& protocol_;
@@ -118,13 +155,23 @@
   boost::asio::steady_timer join_timer_;
   boost::asio::steady_timer read_timer_;
   boost::asio::steady_timer poll_timer_;
+  boost::asio::steady_timer poll_soon_timer_;
   boost::asio::steady_timer load_timer_;
   boost::asio::steady_timer successor_timer_;
   std::map<std::string, GrantQueue, std::less<>> grant_queues_;
   std::map<std::uint64_t, std::shared_ptr<HttpClient>> release_clients_;
   InstanceTracker instance_tracker_;
+  ZoneRelays zone_relays_;
+  // The load of the instances that report to this one while it is a relay.
+  LoadAggregator aggregator_;
+  // What this instance sent to those that report to it.
+  UpdateHistory sent_updates_;
+  // Until then, missed updates are expected from the relay.
+  BootTime updates_requested_until_{};
   std::uint64_t published_tables_version_ = 0;
   std::uint32_t instances_ = 1;
+  // The leader counts the instances; the store's group has only some of them.
+  bool instances_counted_ = false;
   bool was_leader_ = false;
   bool was_active_ = false;
   // The resignation that this instance appended last, if any.
@@ -132,10 +179,9 @@
   // When this instance became the leader.
   BootTime leader_started_at_{};
   bool reading_log_ = false;
+  bool polls_soon_ = false;
   bool relay_active_ = false;
-  // Number of consecutive load reports that were skipped because they were
-  // empty.
-  int skipped_reports_ = 0;
+  BootTime last_report_{};
   bool stopping_ = false;
 };
 
--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
+// A server sends at most a few copies of earlier responses; one that goes on is
+// in trouble.
+constexpr int kMaxSkippedResponses = 3;
 
 // Parses "timeout=N" of a Keep-Alive field.
 std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view value) {
@@ -52,6 +55,7 @@
   options_ = std::move(options);
   handler_ = std::move(handler);
   write_started_ = false;
+  skipped_responses_ = 0;
   ++call_id_;
   parser_ = std::make_unique<HttpResponseParser>(
       ParseLimits{.body_bytes = options_.body_limit}, options_.head_request,
@@ -64,7 +68,14 @@
     Connect();
 }
 
+void HttpClient::ReleaseBudget() {
+  const std::size_t bytes = std::exchange(received_bytes_, 0);
+  if (bytes > 0)
+    options_.response_budget->Release(bytes);
+}
+
 void HttpClient::Abort() {
+  ReleaseBudget();
   handler_ = nullptr;
   ++call_id_;
   Close();
@@ -103,7 +114,7 @@
     boost::asio::post(socket_.get_executor(),
                       [self = shared_from_this(), call_id = call_id_] {
                         if (call_id == self->call_id_)
-                          self->Finish(HttpCallResult::kNotConnected);
+                          self->Finish(HttpCallResult::kNotSent);
                       });
     return;
   }
@@ -146,6 +157,13 @@
     return;
   }
   buffer_.commit(bytes);
+  if (options_.response_budget != nullptr) {
+    if (!options_.response_budget->TryAdd(received_bytes_, bytes)) {
+      Finish(HttpCallResult::kInvalidResponse);
+      return;
+    }
+    received_bytes_ += bytes;
+  }
   if (error) {
     if (error == boost::asio::error::eof &&
         parser_->EndOfStream() == ParseStatus::kDone) {
@@ -173,6 +191,10 @@
         options_.accepts_response(parser_->response()))
       break;
     // A late response to an earlier request.
+    if (++skipped_responses_ > kMaxSkippedResponses) {
+      Finish(HttpCallResult::kInvalidResponse);
+      return;
+    }
     parser_ = std::make_unique<HttpResponseParser>(
         ParseLimits{.body_bytes = options_.body_limit}, options_.head_request,
         CloseDelimited::kAccept);
@@ -206,6 +228,7 @@
   const auto self = shared_from_this();
   timer_.cancel();
   ++call_id_;
+  ReleaseBudget();
   const Handler handler = std::exchange(handler_, nullptr);
   HttpResponse empty_response;
   const std::unique_ptr<HttpResponseParser> parser = std::move(parser_);
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -14,6 +14,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "base/boot_clock.h"
+#include "entry/response_budget.h"
 #include "http/http_message.h"
 #include "http/http_parser.h"
 
@@ -28,6 +29,8 @@
   // The connection could not be opened in time, or for another reason. Nothing
   // was sent.
   kNotConnected,
+  // CallOptions::may_send returned false. Nothing was sent.
+  kNotSent,
   // The connection was lost after bytes may have been sent.
   kConnectionLost,
   // The response is malformed or incomplete.
@@ -59,12 +62,15 @@
     // unset, every response is accepted.
     std::function<bool(const HttpResponse&)> accepts_response;
     // Called right before the request is written; false ends the call with
-    // kNotConnected. If unset, the request is sent.
+    // kNotSent. If unset, the request is sent.
     std::function<bool()> may_send;
     // Resets the connection on a timeout, so that bytes in flight do not
     // arrive.
     bool reset_on_timeout = false;
     std::uint64_t body_limit = 64 << 20;
+    // If set, the response is given up when this is exhausted. Must outlive the
+    // client.
+    ResponseBudget* response_budget = nullptr;
   };
   using Handler = std::function<void(HttpCallResult, HttpResponse&)>;
 
@@ -78,7 +84,7 @@
   // Precondition: IsReusable().
   void Call(std::string request, CallOptions options, Handler handler);
   // Ends the call, if any, without calling its handler, and closes the
-  // connection.
+  // connection. A call that has a budget must end before that is destroyed.
   void Abort();
 
   // Returns whether no call is in progress and the connection, if any, can
@@ -102,6 +108,7 @@
   void OnTimeout();
   void Finish(HttpCallResult result);
   void FinishResponse();
+  void ReleaseBudget();
   // Closes the connection when the server does or sends unexpected bytes.
   void WatchIdle();
   void Close();
@@ -113,6 +120,10 @@
   std::unique_ptr<HttpResponseParser> parser_;
   std::string request_;
   CallOptions options_;
+  // Bytes of the response in progress, as counted in the budget.
+  std::size_t received_bytes_ = 0;
+  // Responses to earlier calls that arrived during this one.
+  int skipped_responses_ = 0;
   // Set while a call is in progress.
   Handler handler_;
   // Distinguishes the events of the current call from those of earlier ones.
--- /dev/null
+++ b/packages/entry/http_client_test.cc
@@ -0,0 +1,215 @@
+// Tests of HttpClient with servers in trouble.
+
+#include "entry/http_client.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "entry/loopback_test.h"
+#include "entry/response_budget.h"
+#include "entry/scripted_server_test.h"
+
+namespace pollenrudder {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Outcome {
+  HttpCallResult result;
+  std::string body;
+};
+
+// A response with the id of the request in `head`.
+std::string ResponseTo(const std::string& head, const std::string& body) {
+  const std::size_t at = head.find("Id: ") + 4;
+  return "HTTP/1.1 200 OK\r\nId: " + head.substr(at, head.find('\r', at) - at) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+struct Fixture {
+  std::shared_ptr<HttpClient> MakeClient(const ScriptedServer& server) {
+    return HttpClient::Create(io, server.endpoint());
+  }
+
+  std::optional<Outcome> Call(const std::shared_ptr<HttpClient>& client,
+                              const std::string& id) {
+    std::optional<Outcome> outcome;
+    Start(client, id, [&](HttpCallResult result, HttpResponse& response) {
+      outcome = Outcome{result, response.body};
+    });
+    RunUntil(io, [&] { return outcome.has_value(); });
+    return outcome;
+  }
+
+  void Start(const std::shared_ptr<HttpClient>& client,
+             const std::string& id,
+             HttpClient::Handler handler) {
+    HttpClient::CallOptions options;
+    options.timeout = 10s;
+    options.response_budget = &budget;
+    options.accepts_response = [id](const HttpResponse& response) {
+      return FindHeader(response.header_lines, "Id") == id;
+    };
+    client->Call("GET / HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n\r\n",
+                 std::move(options), std::move(handler));
+  }
+
+  boost::asio::io_context io{1};
+  ResponseBudget budget{4 << 20};
+};
+
+// Guards against a second copy of a response that arrives late, on a connection
+// that is in use again, and reaches the next caller.
+TEST_CASE("HttpClient skips a late copy of an earlier response") {
+  Fixture fixture;
+  std::string first;
+  ScriptedServer server(fixture.io, [&](const std::string& head, int number) {
+    const std::string response = ResponseTo(head, std::to_string(number));
+    if (number == 1)
+      first = response;
+    return ScriptedResponse{number == 2 ? first + response : response, "", {}};
+  });
+  const auto client = fixture.MakeClient(server);
+  CHECK(fixture.Call(client, "r1")->body == "1");
+  REQUIRE(client->IsReusable());
+  const auto second = fixture.Call(client, "r2");
+  CHECK(second->result == HttpCallResult::kAnswered);
+  CHECK(second->body == "2");
+  client->Abort();
+}
+
+// As above, for a copy that follows the response at once.
+TEST_CASE("HttpClient does not reuse a connection after extra bytes") {
+  Fixture fixture;
+  ScriptedServer server(fixture.io, [&](const std::string& head, int) {
+    return ScriptedResponse{
+        ResponseTo(head, "x") + ResponseTo(head, "x"), "", {}};
+  });
+  const auto client = fixture.MakeClient(server);
+  CHECK(fixture.Call(client, "r1")->result == HttpCallResult::kAnswered);
+  RunUntil(fixture.io, [&] { return !client->IsReusable(); });
+  CHECK_FALSE(client->IsReusable());
+}
+
+// Guards against a response that broke off halfway and is delivered as whole.
+TEST_CASE("HttpClient reports a response that breaks off as invalid") {
+  const std::string bytes = GENERATE(
+      std::string(
+          "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 10\r\n\r\nhalf"),
+      std::string("HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked"
+                  "\r\n\r\n4\r\nhalf\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Le"));
+  const auto end =
+      GENERATE(ScriptedResponse::End::kClose, ScriptedResponse::End::kReset);
+  Fixture fixture;
+  ScriptedServer server(fixture.io, [&](const std::string&, int) {
+    return ScriptedResponse{bytes, "", end};
+  });
+  const auto client = fixture.MakeClient(server);
+  const auto outcome = fixture.Call(client, "r1");
+  REQUIRE(outcome);
+  CHECK(outcome->result != HttpCallResult::kAnswered);
+  CHECK_FALSE(client->IsReusable());
+}
+
+// As above, for a body that ends with its connection.
+TEST_CASE("HttpClient completes a body without length only by a clean end") {
+  const auto end =
+      GENERATE(ScriptedResponse::End::kClose, ScriptedResponse::End::kReset);
+  Fixture fixture;
+  ScriptedServer server(fixture.io, [&](const std::string&, int) {
+    return ScriptedResponse{"HTTP/1.1 200 OK\r\nId: r1\r\n\r\nbody", "", end};
+  });
+  const auto client = fixture.MakeClient(server);
+  const auto outcome = fixture.Call(client, "r1");
+  REQUIRE(outcome);
+  CHECK((outcome->result == HttpCallResult::kAnswered) ==
+        (end == ScriptedResponse::End::kClose));
+}
+
+// Guards against bytes without end that occupy the instance until the deadline
+// or take its memory: in the head, in a chunk's head, in bodies of each kind,
+// in interim responses and in responses to other requests.
+TEST_CASE("HttpClient gives up responses without end") {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\n";
+  const std::string filler(1000, 'x');
+  const ScriptedResponse response = GENERATE_REF(
+      ScriptedResponse{"", filler, {}},
+      ScriptedResponse{head + "X: ", filler, {}},
+      ScriptedResponse{head, "X: " + filler + "\r\n", {}},
+      ScriptedResponse{
+          head + "Transfer-Encoding: chunked\r\n\r\n4;", filler, {}},
+      ScriptedResponse{head + "Transfer-Encoding: chunked\r\n\r\n",
+                       "3e8\r\n" + filler + "\r\n",
+                       {}},
+      ScriptedResponse{head + "Content-Length: 9000000000\r\n\r\n", filler, {}},
+      ScriptedResponse{head + "\r\n", filler, {}},
+      ScriptedResponse{"", "HTTP/1.1 100 Continue\r\n\r\n", {}},
+      ScriptedResponse{
+          "", "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 1\r\n\r\nx", {}});
+  Fixture fixture;
+  ScriptedServer server(fixture.io,
+                        [&](const std::string&, int) { return response; });
+  const auto client = fixture.MakeClient(server);
+  const auto started_at = std::chrono::steady_clock::now();
+  const auto outcome = fixture.Call(client, "r1");
+  REQUIRE(outcome);
+  CHECK(outcome->result == HttpCallResult::kInvalidResponse);
+  CHECK_FALSE(client->IsReusable());
+  CHECK(fixture.budget.used() == 0);
+  // Long before the timeout of the call.
+  CHECK(std::chrono::steady_clock::now() - started_at < 5s);
+}
+
+// Guards against a process that runs out of memory when a hundred upstreams
+// send bodies without end, and against callers of healthy upstreams that are
+// refused meanwhile.
+TEST_CASE("HttpClient bounds the memory of a hundred endless responses") {
+  constexpr int kCalls = 100;
+  constexpr std::size_t kLimit = 32 << 20;
+  Fixture fixture;
+  ScriptedServer server(fixture.io, [&](const std::string& head, int) {
+    if (head.find("Id: good") != std::string::npos)
+      return ScriptedResponse{ResponseTo(head, std::string(9000, 'y')), "", {}};
+    return ScriptedResponse{
+        "HTTP/1.1 200 OK\r\nId: bad\r\n\r\n", std::string(50000, 'x'), {}};
+  });
+  int ended = 0;
+  std::size_t peak = 0;
+  std::vector<std::shared_ptr<HttpClient>> clients;
+  for (int call = 0; call < kCalls; ++call) {
+    clients.push_back(fixture.MakeClient(server));
+    fixture.Start(clients.back(), "bad",
+                  [&](HttpCallResult result, HttpResponse&) {
+                    ended += result == HttpCallResult::kInvalidResponse ? 1 : 0;
+                  });
+  }
+  int served = 0;
+  while (ended < kCalls) {
+    const auto client = fixture.MakeClient(server);
+    std::optional<HttpCallResult> good;
+    fixture.Start(client, "good",
+                  [&](HttpCallResult result, HttpResponse&) { good = result; });
+    REQUIRE(RunUntil(fixture.io, [&] {
+      peak = std::max(peak, fixture.budget.used());
+      return good.has_value();
+    }));
+    CHECK(good == HttpCallResult::kAnswered);
+    client->Abort();
+    ++served;
+  }
+  CHECK(served > 0);
+  CHECK(peak < kLimit);
+  CHECK(fixture.budget.used() == 0);
+}
+
+}  // namespace
+}  // namespace pollenrudder
--- a/packages/entry/instance_channel.cc
+++ b/packages/entry/instance_channel.cc
@@ -9,6 +9,7 @@
 
 #include "base/socket_address.h"
 #include "http/deflate.h"
+#include "http/http_message.h"
 
 namespace pollenrudder {
 namespace {
@@ -18,6 +19,9 @@
 constexpr char kLoadReportTag = 'L';
 constexpr char kTableUpdateTag = 'U';
 constexpr char kRelayedUpdateTag = 'N';
+constexpr char kForwardedTableUpdateTag = 'u';
+constexpr char kForwardedRelayedUpdateTag = 'n';
+constexpr char kUpdateRequestTag = 'R';
 constexpr char kUncompressed = 'p';
 constexpr char kCompressed = 'z';
 // Compression saves little below this size.
@@ -57,18 +61,31 @@
 }
 
 void InstanceChannel::Send(const Addresses& addresses,
-                           const TableUpdate& update) {
-  SendText(addresses, kTableUpdateTag, EncodeTableUpdate(update));
+                           const TableUpdate& update,
+                           Hop hop) {
+  SendText(addresses,
+           hop == Hop::kDirect ? kTableUpdateTag : kForwardedTableUpdateTag,
+           EncodeTableUpdate(update));
 }
 
 void InstanceChannel::Send(const Addresses& addresses,
-                           const RelayedUpdate& update) {
-  SendText(addresses, kRelayedUpdateTag, EncodeRelayedUpdate(update));
+                           const RelayedUpdate& update,
+                           Hop hop) {
+  SendText(addresses,
+           hop == Hop::kDirect ? kRelayedUpdateTag : kForwardedRelayedUpdateTag,
+           EncodeRelayedUpdate(update));
+}
+
+void InstanceChannel::RequestUpdates(const std::string& address,
+                                     std::uint64_t next_offset) {
+  SendText({address}, kUpdateRequestTag, std::to_string(next_offset));
 }
 
 void InstanceChannel::SendText(const Addresses& addresses,
                                char tag,
                                const std::string& text) {
+  if (addresses.empty())
+    return;
   const bool compressed = text.size() >= kMinCompressedBytes;
   const std::string datagram =
       std::string{tag, compressed ? kCompressed : kUncompressed} +
@@ -107,6 +124,10 @@
                      });
 }
 
+std::string InstanceChannel::SenderAddress() const {
+  return sender_.address().to_string() + ':' + std::to_string(sender_.port());
+}
+
 void InstanceChannel::Dispatch(std::string_view datagram) {
   if (datagram.size() < kPrefixBytes)
     return;
@@ -121,16 +142,21 @@
     text = *inflated;
   }
   if (tag == kLoadReportTag) {
-    if (const auto report = ParseLoadReport(text)) {
-      listener_.OnLoadReport(*report, sender_.address().to_string() + ':' +
-                                          std::to_string(sender_.port()));
+    if (const auto report = ParseLoadReport(text))
+      listener_.OnLoadReport(*report, SenderAddress());
+  } else if (tag == kUpdateRequestTag) {
+    if (const auto next_offset = ParseNumber(text))
+      listener_.OnUpdatesRequested(*next_offset, SenderAddress());
+  } else if (tag == kTableUpdateTag || tag == kForwardedTableUpdateTag) {
+    if (const auto update = ParseTableUpdate(text)) {
+      listener_.OnTableUpdate(
+          *update, tag == kTableUpdateTag ? Hop::kDirect : Hop::kForwarded);
+    }
+  } else if (tag == kRelayedUpdateTag || tag == kForwardedRelayedUpdateTag) {
+    if (const auto update = ParseRelayedUpdate(text)) {
+      listener_.OnRelayedUpdate(
+          *update, tag == kRelayedUpdateTag ? Hop::kDirect : Hop::kForwarded);
     }
-  } else if (tag == kTableUpdateTag) {
-    if (const auto update = ParseTableUpdate(text))
-      listener_.OnTableUpdate(*update);
-  } else if (tag == kRelayedUpdateTag) {
-    if (const auto update = ParseRelayedUpdate(text))
-      listener_.OnRelayedUpdate(*update);
   }
 }
 
--- a/packages/entry/instance_channel.h
+++ b/packages/entry/instance_channel.h
@@ -23,14 +23,22 @@
 // load, and a lost update is detected with the next one.
 class InstanceChannel {
  public:
+  // Whether an update may be forwarded to the instances of a zone. One that was
+  // forwarded is not forwarded again, so two instances that report to each
+  // other do not exchange it forever.
+  enum class Hop { kDirect, kForwarded };
+
   class Listener {
    public:
     virtual ~Listener() = default;
     // `sender` is the "ip:port" of the sending instance.
     virtual void OnLoadReport(const LoadReport& report,
                               const std::string& sender) = 0;
-    virtual void OnTableUpdate(const TableUpdate& update) = 0;
-    virtual void OnRelayedUpdate(const RelayedUpdate& update) = 0;
+    virtual void OnTableUpdate(const TableUpdate& update, Hop hop) = 0;
+    virtual void OnRelayedUpdate(const RelayedUpdate& update, Hop hop) = 0;
+    // `sender` misses the table updates from the log offset `next_offset` on.
+    virtual void OnUpdatesRequested(std::uint64_t next_offset,
+                                    const std::string& sender) = 0;
   };
 
   // `address` is "ip:port". Fails with kInvalidSettings if it is in use.
@@ -43,8 +51,10 @@
   // The receivers, as "ip:port".
   using Addresses = std::vector<std::string>;
   void Send(const Addresses& addresses, const LoadReport& report);
-  void Send(const Addresses& addresses, const TableUpdate& update);
-  void Send(const Addresses& addresses, const RelayedUpdate& update);
+  void Send(const Addresses& addresses, const TableUpdate& update, Hop hop);
+  void Send(const Addresses& addresses, const RelayedUpdate& update, Hop hop);
+  // Asks for the table updates from the log offset `next_offset` on.
+  void RequestUpdates(const std::string& address, std::uint64_t next_offset);
 
  private:
   static constexpr std::size_t kMaxDatagramBytes = 60000;
@@ -53,6 +63,8 @@
   // `tag` is the message type of `text`.
   void SendText(const Addresses& addresses, char tag, const std::string& text);
   void Receive();
+  // Returns "ip:port" of the sender of the present datagram.
+  std::string SenderAddress() const;
   void Dispatch(std::string_view datagram);
 
   boost::asio::ip::udp::socket socket_;
--- a/packages/entry/instance_tracker.cc
+++ b/packages/entry/instance_tracker.cc
@@ -9,22 +9,51 @@
 bool InstanceTracker::OnLoadReport(const LoadReport& report,
                                    const std::string& address,
                                    BootTime now) {
-  Instance& instance = by_address_[address];
-  const bool is_new = !IsReporting(instance, now);
-  instance = {report.instance, report.zone, report.cores,
-              is_new ? now : instance.first_report, now};
+  const auto record = [&](const std::string& name, const std::string& at,
+                          double cores) -> Instance& {
+    Instance& instance = by_address_[at];
+    if (!IsReporting(instance, now))
+      instance.first_report = now;
+    instance.instance = name;
+    instance.address = at;
+    instance.zone = report.zone;
+    instance.cores = cores;
+    instance.last_report = now;
+    return instance;
+  };
+  if (const auto& member = report.strongest_member)
+    record(member->instance, member->address, member->cores);
+  Instance& sender = record(report.instance, address, report.cores);
+  const bool is_new = !IsReportingDirectly(sender, now);
+  sender.last_direct_report = now;
+  sender.instances = report.instances;
   return is_new;
 }
 
 std::vector<std::string> InstanceTracker::Addresses(BootTime now) const {
   std::vector<std::string> addresses;
   for (const auto& [address, instance] : by_address_) {
-    if (IsReporting(instance, now))
+    if (IsReportingDirectly(instance, now))
       addresses.push_back(address);
   }
   return addresses;
 }
 
+std::uint32_t InstanceTracker::CountInstances(BootTime now) const {
+  std::uint32_t count = 0;
+  for (const auto& [address, instance] : by_address_) {
+    if (IsReportingDirectly(instance, now))
+      count += instance.instances;
+  }
+  return count;
+}
+
+const InstanceTracker::Instance* InstanceTracker::Find(
+    std::string_view address) const {
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? nullptr : &it->second;
+}
+
 std::optional<std::string> InstanceTracker::AddressOf(
     std::string_view instance) const {
   const auto it = std::ranges::find_if(by_address_, [&](const auto& known) {
@@ -46,6 +75,19 @@
   return best;
 }
 
+std::map<std::string, InstanceTracker::Instance, std::less<>>
+InstanceTracker::StrongestByZone(BootTime now) const {
+  std::map<std::string, Instance, std::less<>> strongest;
+  for (const auto& [address, instance] : by_address_) {
+    if (!IsReporting(instance, now))
+      continue;
+    const auto [it, added] = strongest.try_emplace(instance.zone, instance);
+    if (!added && instance.cores > it->second.cores)
+      it->second = instance;
+  }
+  return strongest;
+}
+
 std::map<std::string, std::string, std::less<>> InstanceTracker::OnePerZone(
     std::uint64_t rotation,
     BootTime now) const {
--- a/packages/entry/relayed_update.cc
+++ b/packages/entry/relayed_update.cc
@@ -14,6 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kEntryFieldCount = 8;
+constexpr std::size_t kFieldsWithoutRelays = 6;
+
+using AddressByZone = std::map<std::string, std::string, std::less<>>;
 
 json::array EncodeChange(const FleetChange& change) {
   json::array fields{change.name};
@@ -49,19 +52,31 @@
   return change;
 }
 
+json::object EncodeAddresses(const AddressByZone& addresses) {
+  json::object object;
+  for (const auto& [zone, address] : addresses)
+    object[zone] = address;
+  return object;
+}
+
+AddressByZone ParseAddresses(const json::value& value) {
+  AddressByZone addresses;
+  for (const auto& [zone, address] : value.as_object())
+    addresses[std::string(zone)] = JsonText(address);
+  return addresses;
+}
+
 }  // namespace
 
 std::string EncodeRelayedUpdate(const RelayedUpdate& update) {
   json::array changes;
   for (const FleetChange& change : update.changes)
     changes.push_back(EncodeChange(change));
-  json::object sources;
-  for (const auto& [zone, address] : update.configuration_sources)
-    sources[zone] = address;
   return json::serialize(
       json::array{update.list_from, update.list_to, std::move(changes),
                   update.configuration_version, update.grant_log_offset,
-                  std::move(sources)});
+                  EncodeAddresses(update.configuration_sources),
+                  update.instances, EncodeAddresses(update.zone_relays)});
 }
 
 std::optional<RelayedUpdate> ParseRelayedUpdate(std::string_view text) {
@@ -75,8 +90,12 @@
       update.changes.push_back(ParseChange(change.as_array()));
     update.configuration_version = fields.at(3).to_number<std::uint64_t>();
     update.grant_log_offset = fields.at(4).to_number<std::uint64_t>();
-    for (const auto& [zone, address] : fields.at(5).as_object())
-      update.configuration_sources[std::string(zone)] = JsonText(address);
+    update.configuration_sources = ParseAddresses(fields.at(5));
+    // Updates of earlier versions end here.
+    if (fields.size() > kFieldsWithoutRelays) {
+      update.instances = fields.at(6).to_number<std::uint32_t>();
+      update.zone_relays = ParseAddresses(fields.at(7));
+    }
     return update;
   } catch (const std::exception&) {
     // Boost.JSON reports a malformed datagram as an exception.
--- a/packages/entry/relayed_update.h
+++ b/packages/entry/relayed_update.h
@@ -28,6 +28,12 @@
   std::map<std::string, std::string, std::less<>> configuration_sources;
   // The offset after the last change on the grant log.
   std::uint64_t grant_log_offset = 0;
+  // The number of instances that share the upstreams; 0 if it is not known.
+  std::uint32_t instances = 0;
+  // For each availability zone the instance, as "ip:port", that forwards
+  // updates to the others of the zone and collects their load reports. Empty if
+  // the leader serves all instances itself.
+  std::map<std::string, std::string, std::less<>> zone_relays;
 };
 
 std::string EncodeRelayedUpdate(const RelayedUpdate& update);
--- a/packages/entry/relayed_update_test.cc
+++ b/packages/entry/relayed_update_test.cc
@@ -27,6 +27,8 @@
   update.configuration_version = 12;
   update.grant_log_offset = 40;
   update.configuration_sources = {{"a1", "10.0.0.2:7620"}};
+  update.instances = 295;
+  update.zone_relays = {{"a1", "10.0.0.3:7620"}, {"b1", "10.0.1.3:7620"}};
   return update;
 }
 
@@ -45,6 +47,8 @@
   CHECK(parsed->configuration_version == 12);
   CHECK(parsed->grant_log_offset == 40);
   CHECK(parsed->configuration_sources == update.configuration_sources);
+  CHECK(parsed->instances == 295);
+  CHECK(parsed->zone_relays == update.zone_relays);
 }
 
 // Guards against a damaged datagram that stops the instance.
--- /dev/null
+++ b/packages/entry/scripted_server_test.h
@@ -0,0 +1,116 @@
+// A server that sends scripted bytes, for tests of upstreams in trouble.
+
+#ifndef POLLENRUDDER_ENTRY_SCRIPTED_SERVER_TEST_H_
+#define POLLENRUDDER_ENTRY_SCRIPTED_SERVER_TEST_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+namespace pollenrudder {
+
+// What the server does with one request.
+struct ScriptedResponse {
+  // Sent at once.
+  std::string bytes;
+  // Sent again and again until the client closes; nothing if empty.
+  std::string endless;
+  // Whether the server closes the connection after `bytes`, or resets it.
+  enum class End { kKeepOpen, kClose, kReset };
+  End end = End::kKeepOpen;
+};
+
+// Accepts connections on a free port and passes each request head to `respond`,
+// with its number on the connection. Requests have no body.
+class ScriptedServer {
+ public:
+  using Respond =
+      std::function<ScriptedResponse(const std::string& head, int number)>;
+
+  ScriptedServer(boost::asio::io_context& io, Respond respond)
+      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), /*port=*/0}),
+        respond_(std::move(respond)) {
+    Accept();
+  }
+
+  boost::asio::ip::tcp::endpoint endpoint() const {
+    return acceptor_.local_endpoint();
+  }
+  int connections() const { return connections_; }
+
+ private:
+  struct Connection {
+    explicit Connection(boost::asio::ip::tcp::socket accepted)
+        : socket(std::move(accepted)) {}
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::streambuf input;
+    ScriptedResponse response;
+    int requests = 0;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code error,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (error)
+        return;
+      ++connections_;
+      Read(std::make_shared<Connection>(std::move(socket)));
+      Accept();
+    });
+  }
+
+  void Read(const std::shared_ptr<Connection>& connection) {
+    boost::asio::async_read_until(
+        connection->socket, connection->input, "\r\n\r\n",
+        [this, connection](boost::system::error_code error, std::size_t size) {
+          if (error)
+            return;
+          const std::string head(
+              boost::asio::buffers_begin(connection->input.data()),
+              boost::asio::buffers_begin(connection->input.data()) +
+                  static_cast<std::ptrdiff_t>(size));
+          connection->input.consume(size);
+          connection->response = respond_(head, ++connection->requests);
+          Write(connection, connection->response.bytes);
+        });
+  }
+
+  void Write(const std::shared_ptr<Connection>& connection,
+             const std::string& bytes) {
+    boost::asio::async_write(
+        connection->socket, boost::asio::buffer(bytes),
+        [this, connection](boost::system::error_code error,
+                           std::size_t /*size*/) {
+          if (error)
+            return;
+          if (!connection->response.endless.empty()) {
+            Write(connection, connection->response.endless);
+            return;
+          }
+          if (connection->response.end == ScriptedResponse::End::kKeepOpen) {
+            Read(connection);
+            return;
+          }
+          if (connection->response.end == ScriptedResponse::End::kReset)
+            connection->socket.set_option(
+                boost::asio::socket_base::linger(true, 0));
+          connection->socket.close();
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const Respond respond_;
+  int connections_ = 0;
+};
+
+}  // namespace pollenrudder
+
+#endif  // POLLENRUDDER_ENTRY_SCRIPTED_SERVER_TEST_H_
--- a/packages/entry/update_relay.cc
+++ b/packages/entry/update_relay.cc
@@ -9,6 +9,8 @@
 // itself. Together with the interval it stays well below the time within which
 // leaving upstreams must stop receiving requests.
 constexpr std::chrono::milliseconds kMaxLateness{350};
+// The part of kMaxLateness in which another source of updates can respond.
+constexpr std::chrono::milliseconds kResponseTime{150};
 
 }  // namespace
 
@@ -46,11 +48,13 @@
 }
 
 void UpdateRelay::OnRelayedUpdate(const RelayedUpdate& update,
-                                  std::uint64_t own_configuration_version) {
+                                  std::uint64_t own_configuration_version,
+                                  std::chrono::nanoseconds extra_time) {
   if (feeds_ == nullptr)
     return;
   const std::uint64_t position = feeds_->list_position();
-  if (position < update.list_from) {
+  const bool is_complete = position >= update.list_from;
+  if (!is_complete) {
     feeds_->ReadListNow();
   } else if (position < update.list_to) {
     observer_.OnRelayedChanges(update.changes);
@@ -58,7 +62,11 @@
   }
   if (update.configuration_version > own_configuration_version)
     observer_.OnNewerConfiguration(update);
-  RestartTimeout();
+  // Updates do not replace reads of the list before one of these has provided
+  // the changes that the update lacks.
+  if (!is_complete)
+    return;
+  RestartTimeout(extra_time);
   if (relay_active_)
     return;
   relay_active_ = true;
@@ -75,11 +83,17 @@
   observer_.OnRelayChanged(false);
 }
 
-void UpdateRelay::RestartTimeout() {
-  timeout_timer_.expires_after(update_timeout_);
+void UpdateRelay::RestartTimeout(std::chrono::nanoseconds extra_time) {
+  timeout_timer_.expires_after(update_timeout_ + extra_time - kResponseTime);
   timeout_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error)
-      StopReceiving();
+    if (error)
+      return;
+    observer_.OnUpdateLate();
+    timeout_timer_.expires_after(kResponseTime);
+    timeout_timer_.async_wait([this](boost::system::error_code late_error) {
+      if (!late_error)
+        StopReceiving();
+    });
   });
 }
 
--- a/packages/entry/update_relay.h
+++ b/packages/entry/update_relay.h
@@ -22,8 +22,9 @@
 // Implements both sides. The sender (the leader) adds the changes of its last
 // reads of the instance list to each update. The receiver applies these
 // changes, or reads the list itself if the update begins after its own list
-// position. While the relay is active, the readers of the receiver pause; the
-// relay stops when no update arrives within a timeout.
+// position; such an update does not keep the relay active. While the relay is
+// active, the readers of the receiver pause; it stops when no update arrives
+// within a timeout.
 class UpdateRelay {
  public:
   class Observer {
@@ -32,6 +33,9 @@
     virtual void OnRelayedChanges(const std::vector<FleetChange>& changes) = 0;
     // A configuration exists that is newer than that of this instance.
     virtual void OnNewerConfiguration(const RelayedUpdate& update) = 0;
+    // No update has arrived for a while. The relay stops soon after this unless
+    // one does.
+    virtual void OnUpdateLate() = 0;
     // The relay started or stopped.
     virtual void OnRelayChanged(bool active) = 0;
   };
@@ -52,9 +56,10 @@
   RelayedUpdate MakeUpdate(std::uint64_t configuration_version,
                            std::uint64_t grant_log_offset) const;
 
-  // Receiver.
+  // Receiver. The next update may take `extra_time` longer than usual.
   void OnRelayedUpdate(const RelayedUpdate& update,
-                       std::uint64_t own_configuration_version);
+                       std::uint64_t own_configuration_version,
+                       std::chrono::nanoseconds extra_time);
   bool IsRelayActive() const { return relay_active_; }
   // Lets this instance read the store again, for example because it has become
   // the leader.
@@ -70,7 +75,7 @@
     std::vector<FleetChange> changes;
   };
 
-  void RestartTimeout();
+  void RestartTimeout(std::chrono::nanoseconds extra_time);
 
   const std::chrono::nanoseconds update_timeout_;
   Observer& observer_;
--- a/packages/http/http_parser.cc
+++ b/packages/http/http_parser.cc
@@ -327,8 +327,15 @@
 ParseStatus HttpResponseParser::Parse(boost::beast::flat_buffer& buffer) {
   while (true) {
     const ParseStatus status = core_->ParseFrom(buffer);
+    // What the parser leaves is part of a header, or of the head or trailer of
+    // a chunk, which may not be longer either.
+    if (status == ParseStatus::kNeedMore &&
+        buffer.size() > limits_.header_bytes)
+      return ParseStatus::kHeaderTooLarge;
     if (status != ParseStatus::kDone || core_->message().status / 100 != 1)
       return status;
+    if (++interim_responses_ > kMaxInterimResponses)
+      return ParseStatus::kMalformed;
     core_ = std::make_unique<Core>(limits_, head_request_, close_delimited_);
   }
 }
--- a/packages/http/http_parser.h
+++ b/packages/http/http_parser.h
@@ -63,7 +63,9 @@
   const std::unique_ptr<Core> core_;
 };
 
-// Parses one response and skips interim (1xx) responses.
+// Parses one response and skips interim (1xx) responses. A peer that sends no
+// end of a header, of the head of a chunk or of interim responses is malformed
+// after a limited number of bytes; endless bodies exceed the body limit.
 class HttpResponseParser {
  public:
   HttpResponseParser(const ParseLimits& limits,
@@ -88,10 +90,13 @@
  private:
   class Core;
 
+  static constexpr int kMaxInterimResponses = 16;
+
   std::unique_ptr<Core> core_;
   const ParseLimits limits_;
   const bool head_request_;
   const CloseDelimited close_delimited_;
+  int interim_responses_ = 0;
 };
 
 }  // namespace pollenrudder
