--- a/packages/entry/http_client_test.cc
+++ b/packages/entry/http_client_test.cc
@@ -141,7 +141,7 @@
 TEST_CASE("HttpClient gives up responses without end") {
   const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\n";
   const std::string filler(1000, 'x');
-  const ScriptedResponse response = GENERATE_REF(
+  ScriptedResponse response = GENERATE_REF(
       ScriptedResponse{"", filler, {}},
       ScriptedResponse{head + "X: ", filler, {}},
       ScriptedResponse{head, "X: " + filler + "\r\n", {}},
