Announce what a relay read as the newest records in one update

Cause: a relay that missed records reads the newest record of each key, and announced each of them in an update of its own. If the newest table is behind the newest term, the tables before the term are hidden; yet the update with the term said that nothing had changed before it. An instance that applied it, and whose next update came from the leader or another relay (which contains only rows that changed after the term), had a table that lacked the hidden changes, with a log offset that counted as complete. Updates contain only changed rows, so nothing corrected the table until the instance read a whole one. As the named successor or the next leader it appended its term, because the offset was the end of the log, and renewed the grants of the former owners with a token above that of the present owners.

Evidence: "Updates of a relay skip no record that the relay did not read" fails on: the instance has u0 as the owner of key 7 at offset 5, where the log has u1.

Change: the newest records become one update with the rows and the term; if they change several tables, none is sent, which receivers see as a gap. This holds for any loss and order of updates, because a receiver's offset only moves together with the complete state. The former leader that reads the newest records is covered too. In a rolling upgrade, an instance of an earlier version ignores the rows of such an update.

--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -53,6 +53,12 @@
                                        std::uint64_t end,
                                        BootTime now) {
   std::ranges::sort(records, {}, &LogEntry::offset);
+  const bool is_announced = collects_updates_ || IsOwnTerm();
+  const std::vector<TableUpdate> pending = TakeUpdates();
+  const bool was_leader = is_leader_;
+  // The newest record of a key hides those before it, so the records describe
+  // the state of the log only together.
+  const bool collects = std::exchange(collects_updates_, true);
   // The newest records are read in pages, which are not a consistent snapshot:
   // records appended during the read are read again from the log, in order.
   bool log_grew = false;
@@ -62,12 +68,23 @@
     else if (entry.offset >= next_offset_)
       ApplyRecord(entry.offset, entry.record, now);
   }
+  collects_updates_ = collects;
+  const std::optional<TableUpdate> update = MergeUpdates(TakeUpdates());
+  if (was_leader == is_leader_)
+    updates_ = pending;
+  if (update && is_announced)
+    updates_.push_back(*update);
   next_offset_ = std::max(next_offset_, end);
   log_was_read_ = true;
   needs_log_ = log_grew;
   misses_update_ = false;
 }
 
+bool GrantCoordinator::IsOwnTerm() const {
+  return term_ && term_->instance == options_.instance &&
+         term_->incarnation == options_.incarnation;
+}
+
 void GrantCoordinator::ApplyRecord(std::uint64_t offset,
                                    const GrantLogRecord& record,
                                    BootTime now) {
@@ -84,6 +101,7 @@
 void GrantCoordinator::ApplyTerm(std::uint64_t offset,
                                  const GrantTermRecord& term,
                                  BootTime now) {
+  const bool follows_own_term = IsOwnTerm();
   const std::optional<GrantTermRecord> former = std::exchange(term_, term);
   term_offset_ = offset;
   leader_seen_at_ = now;
@@ -94,10 +112,7 @@
                            !former->resigned;
   if (same_leader && !term.resigned)
     return;
-  const bool follows_own_term = former &&
-                                former->instance == options_.instance &&
-                                former->incarnation == options_.incarnation;
-  const TableUpdate update{"", offset, last_change_offset_, {}, term};
+  const TableUpdate update{"", offset, last_change_offset_, {}, term, offset};
   last_change_offset_ = offset + 1;
   // Prevents two instances that both consider themselves preferred from taking
   // the leadership from each other repeatedly.
@@ -118,7 +133,7 @@
   if (table == record.table)
     return;
   if (is_leader_ || collects_updates_) {
-    TableUpdate update{record.service, offset, last_change_offset_, {}, {}};
+    TableUpdate update{record.service, offset, last_change_offset_, {}, {}, 0};
     for (const KeyAssignment& row : record.table.rows()) {
       const KeyAssignment* old = table.Find(row.keys.first);
       // A row that was only cut needs no update.
@@ -146,18 +161,22 @@
   }
   misses_update_ = false;
   next_offset_ = update.offset + 1;
+  if (!update.service.empty()) {
+    KeyTable& table = tables_[update.service];
+    for (const KeyAssignment& row : update.rows)
+      table.Assign(row);
+    ++tables_version_;
+    // The skipped records may include renewals of the term; the update itself
+    // shows that the leader is alive.
+    leader_seen_at_ = now;
+  }
   if (update.term) {
-    ApplyTerm(update.offset, *update.term, now);
-    return true;
+    const std::size_t collected = updates_.size();
+    ApplyTerm(update.term_offset, *update.term, now);
+    if (updates_.size() > collected)
+      updates_.back() = update;
   }
-  KeyTable& table = tables_[update.service];
-  for (const KeyAssignment& row : update.rows)
-    table.Assign(row);
-  // The skipped records may include renewals of the term; the update itself
-  // shows that the leader is alive.
-  leader_seen_at_ = now;
   last_change_offset_ = next_offset_;
-  ++tables_version_;
   return true;
 }
 
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -226,6 +226,8 @@
                     std::chrono::milliseconds change_delay,
                     BootTime now);
   void ClearLeaderState();
+  // Whether this incarnation started the newest known term.
+  bool IsOwnTerm() const;
 
   bool ShouldClaim(BootTime now) const;
   // How long after a claim an earlier leader may still send grants.
--- a/packages/grants/table_update.cc
+++ b/packages/grants/table_update.cc
@@ -11,6 +11,28 @@
 
 namespace json = boost::json;
 
+std::optional<TableUpdate> MergeUpdates(
+    const std::vector<TableUpdate>& updates) {
+  if (updates.empty())
+    return std::nullopt;
+  TableUpdate merged;
+  merged.unchanged_since = updates.front().unchanged_since;
+  for (const TableUpdate& update : updates) {
+    merged.offset = update.offset;
+    if (update.term) {
+      merged.term = update.term;
+      merged.term_offset = update.term_offset;
+    }
+    if (update.service.empty())
+      continue;
+    if (!merged.service.empty())
+      return std::nullopt;
+    merged.service = update.service;
+    merged.rows = update.rows;
+  }
+  return merged;
+}
+
 std::string EncodeTableUpdate(const TableUpdate& update) {
   json::array rows;
   for (const KeyAssignment& row : update.rows)
@@ -19,8 +41,10 @@
                       {"o", update.offset},
                       {"p", update.unchanged_since},
                       {"r", std::move(rows)}};
-  if (update.term)
+  if (update.term) {
     fields["t"] = EncodeGrantTerm(*update.term);
+    fields["s"] = update.term_offset;
+  }
   return json::serialize(fields);
 }
 
@@ -33,8 +57,13 @@
     update.unchanged_since = value.at("p").to_number<std::uint64_t>();
     for (const json::value& row : value.at("r").as_array())
       update.rows.push_back(ParseKeyRow(row.as_array()));
-    if (const json::value* term = value.as_object().if_contains("t"))
+    if (const json::value* term = value.as_object().if_contains("t")) {
       update.term = ParseGrantTerm(*term);
+      // Updates of earlier versions contain one record and not this field.
+      const json::value* offset = value.as_object().if_contains("s");
+      update.term_offset =
+          offset ? offset->to_number<std::uint64_t>() : update.offset;
+    }
     return update;
   } catch (const std::exception&) {
     // Boost.JSON throws for a malformed datagram.
--- a/packages/grants/table_update.h
+++ b/packages/grants/table_update.h
@@ -15,21 +15,32 @@
 
 namespace pollenrudder {
 
-// The rows that a log record changed, or the term that it started or ended.
-// Sent after the record was appended, so it contains nothing that is not on the
-// log.
+// The rows that a log record changed, the term that it started or ended, or
+// what several records changed together. Sent after the records were appended,
+// so it contains nothing that is not on the log.
+//
+// Invariant: applied to any state that includes the log up to some offset from
+// `unchanged_since` to `offset`, it yields the state after `offset`.
 struct TableUpdate {
-  // Empty if the update contains a term.
+  // The service of `rows`; empty if no table changed.
   std::string service;
-  // The offset of the record.
+  // The offset of the last record.
   std::uint64_t offset = 0;
-  // No record from this offset up to `offset` changed a table or the leader.
-  // The update applies only to a state that includes the log up to here.
+  // The update includes each record from this offset up to `offset` that
+  // changed a table or the leader.
   std::uint64_t unchanged_since = 0;
   std::vector<KeyAssignment> rows;
   std::optional<GrantTermRecord> term;
+  // The offset of the record of `term`.
+  std::uint64_t term_offset = 0;
 };
 
+// Returns one update for all of `updates`, which are in order and each begin
+// where the previous one ends. Nothing if they change several tables or there
+// are none.
+std::optional<TableUpdate> MergeUpdates(
+    const std::vector<TableUpdate>& updates);
+
 std::string EncodeTableUpdate(const TableUpdate& update);
 // Returns nothing if the datagram is not a table update.
 std::optional<TableUpdate> ParseTableUpdate(std::string_view text);
