Apply the newest records only if the log did not grow during the read

Cause: records that were appended after the first page were skipped, and the others were counted as the state of the log up to the end that the first page names. But the record that was skipped hides an earlier one of the same key. Until the log was read from that end on, the table was older than its offset, and an update was applied to it; the record that would have corrected the table was then skipped as known.

Evidence: "GrantCoordinator reads again when the log grows between pages" fails before the change: key 7 stays with u0 although the log has u1, also after the records were read in order.

Change: nothing is applied in this case, and the log is read in order from the former offset.

Result: the test and the other tests of the package pass.

--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -52,6 +52,14 @@
 void GrantCoordinator::OnNewestRecords(std::vector<LogEntry> records,
                                        std::uint64_t end,
                                        BootTime now) {
+  misses_update_ = false;
+  // The newest records are read in pages, which are not a consistent snapshot.
+  // A record that was appended during the read hides an earlier one of the same
+  // key, so the state up to `end` is not known.
+  needs_log_ = std::ranges::any_of(
+      records, [end](const LogEntry& entry) { return entry.offset >= end; });
+  if (needs_log_)
+    return;
   std::ranges::sort(records, {}, &LogEntry::offset);
   const bool is_announced = collects_updates_ || IsOwnTerm();
   const std::vector<TableUpdate> pending = TakeUpdates();
@@ -59,13 +67,8 @@
   // The newest record of a key hides those before it, so the records describe
   // the state of the log only together.
   const bool collects = std::exchange(collects_updates_, true);
-  // The newest records are read in pages, which are not a consistent snapshot:
-  // records appended during the read are read again from the log, in order.
-  bool log_grew = false;
   for (const LogEntry& entry : records) {
-    if (entry.offset >= end)
-      log_grew = true;
-    else if (entry.offset >= next_offset_)
+    if (entry.offset >= next_offset_)
       ApplyRecord(entry.offset, entry.record, now);
   }
   collects_updates_ = collects;
@@ -76,8 +79,6 @@
     updates_.push_back(*update);
   next_offset_ = std::max(next_offset_, end);
   log_was_read_ = true;
-  needs_log_ = log_grew;
-  misses_update_ = false;
 }
 
 bool GrantCoordinator::IsOwnTerm() const {
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -76,7 +76,8 @@
                     std::uint64_t end,
                     BootTime sent_at,
                     BootTime now);
-  // Applies the newest record of each key, read when the log ended at `end`.
+  // Applies the newest record of each key, read when the log ended at `end`. If
+  // some were appended later, none is applied and the log has to be read.
   void OnNewestRecords(std::vector<LogEntry> records,
                        std::uint64_t end,
                        BootTime now);
--- a/packages/grants/table_update_test.cc
+++ b/packages/grants/table_update_test.cc
@@ -129,5 +129,22 @@
   CHECK(EncodeTableUpdate(passed_on[0]) == EncodeTableUpdate(*update));
 }
 
+// Guards against an instance that takes its table for complete after a read in
+// pages: a record that was appended during the read hides the record before it,
+// which lies within the part that counts as read.
+TEST_CASE("GrantCoordinator reads again when the log grows between pages") {
+  GrantCoordinator coordinator = MakeReader("front-4");
+  const auto log = MakeLog();
+  // Record 4 was appended after the first page, which names 4 as the end.
+  coordinator.OnNewestRecords({log[4], log[3]}, 4, At(100ms));
+  CHECK(coordinator.NeedsLog());
+  (void)coordinator.OnTableUpdate(UpdateOfLeader(), At(110ms));
+  if (coordinator.next_offset() == 5)
+    CHECK(coordinator.tables().at("geodata").Find(7)->owner.name == "u1");
+  coordinator.OnLogRecords({log[2], log[3], log[4]}, 5, At(120ms), At(120ms));
+  CHECK_FALSE(coordinator.NeedsLog());
+  CHECK(coordinator.tables().at("geodata").Find(7)->owner.name == "u1");
+}
+
 }  // namespace
 }  // namespace pollenrudder
