Take a grant record that cannot be decoded as unknown, not as absent

What callers saw: after a restart of all instances, keys with two owners (OWNER).

Cause: GrantCoordinator ignored a record that it could not decode. If that was the newest record of a service's table, a leader without state had no table, took all keys for never assigned, and granted them at once, beside the owners that the former leader had just renewed. An instance with an earlier table would have renewed that. Of the class: an unknown state taken for an empty one.

Change: an undecodable table is unknown. A leader that starts without it assigns no key of the service before every grant of earlier leaders has expired, whether they resigned or not; an instance applies no update to it; the leader that wrote it writes the table again and does not hand over before. An undecodable term is that of an unknown, live leader. Each such record is logged (event 9024), which the logs of the incident lacked.

--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -78,6 +78,10 @@
 // zone; it is read from the store.
 inline constexpr LogEvent kConfigurationNotFetched{9023, "plan_not_fetched",
                                                    LogLevel::kInfo};
+// A term or key table on the grant log cannot be decoded. It counts as unknown:
+// a new leader waits until the grants of earlier ones have expired.
+inline constexpr LogEvent kGrantRecordUnreadable{
+    9024, "grant_record_unreadable", LogLevel::kError};
 
 }  // namespace pollenrudder
 
--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -387,6 +387,11 @@
 
 void GrantDriver::PublishChanges() {
   const BootTime now = BootClock::now();
+  for (const auto& record : coordinator_.TakeUnreadableRecords()) {
+    EventLog::Write(kGrantRecordUnreadable, {{"offset", record.offset},
+                                             {"key", record.key},
+                                             {"reason", record.reason}});
+  }
   const bool is_leader = coordinator_.IsLeader();
   if (is_leader != was_leader_) {
     was_leader_ = is_leader;
--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -92,13 +92,30 @@
   next_offset_ = std::max(next_offset_, offset + 1);
   const auto parsed = ParseGrantLogRecord(record);
   if (!parsed)
-    return;
-  if (const auto* term = std::get_if<GrantTermRecord>(&parsed.value()))
+    ApplyUnreadable(offset, record, parsed.error().message, now);
+  else if (const auto* term = std::get_if<GrantTermRecord>(&parsed.value()))
     ApplyTerm(offset, *term, now);
   else
     ApplyTable(offset, std::get<TableRecord>(parsed.value()));
 }
 
+void GrantCoordinator::ApplyUnreadable(std::uint64_t offset,
+                                       const GrantLogRecord& record,
+                                       const std::string& reason,
+                                       BootTime now) {
+  const auto service = ServiceOfTableKey(record.key);
+  if (!service && !IsTermKey(record.key))
+    return;
+  unreadable_records_.push_back({offset, record.key, reason});
+  if (!service) {
+    // A term of an unknown instance, which may be granting keys.
+    ApplyTerm(offset, GrantTermRecord(), now);
+    return;
+  }
+  unreadable_tables_.insert(*service);
+  last_change_offset_ = offset + 1;
+}
+
 void GrantCoordinator::ApplyTerm(std::uint64_t offset,
                                  const GrantTermRecord& term,
                                  BootTime now) {
@@ -130,6 +147,7 @@
 
 void GrantCoordinator::ApplyTable(std::uint64_t offset,
                                   const TableRecord& record) {
+  unreadable_tables_.erase(record.service);
   KeyTable& table = tables_[record.service];
   if (table == record.table)
     return;
@@ -156,7 +174,8 @@
 bool GrantCoordinator::OnTableUpdate(const TableUpdate& update, BootTime now) {
   if (is_leader_ || update.offset < next_offset_)
     return true;
-  if (!log_was_read_ || update.unchanged_since > next_offset_) {
+  if (!log_was_read_ || update.unchanged_since > next_offset_ ||
+      unreadable_tables_.contains(update.service)) {
     misses_update_ = true;
     return false;
   }
@@ -237,6 +256,10 @@
                                           BootTime now) {
   if (!is_leader_ || stopping_ || transferring_ || now < changes_allowed_from_)
     return;
+  // A successor would have to wait for the grants of a table that it does not
+  // know.
+  if (!unreadable_tables_.empty())
+    return;
   transferring_ = true;
   successor_ = successor;
 }
@@ -278,6 +301,11 @@
   const BootTime unanswered_until =
       no_wait ? now + (former ? former->unanswered_grant_ttl : milliseconds(0))
               : answered_until;
+  for (const std::string& service : unreadable_tables_) {
+    tables_[service] = KeyTable();
+    ++tables_version_;
+    services_[service].unknown_grants_until = answered_until;
+  }
   for (auto& [service, table] : tables_) {
     ServiceState& state = services_[service];
     state.rows.clear();
@@ -305,6 +333,7 @@
   updates_.clear();
   for (auto& [service, state] : services_) {
     state.rows.clear();
+    state.unknown_grants_until = {};
     state.load = {};
   }
 }
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/boot_clock.h"
@@ -44,6 +46,10 @@
 //   another upstream responds at its address. The time of a grant runs from its
 //   arrival, which for an unanswered one is known only once a later call to the
 //   same availability zone is answered.
+// - A record that cannot be decoded counts as unknown, not as absent. A term
+//   like that belongs to another, live leader. A new leader that does not know
+//   the table of a service assigns its keys only when every grant of earlier
+//   leaders has expired.
 //
 // The preferred leader of the membership group takes over when the leader is
 // lost. A leader that is no longer preferred stays leader and appends its term
@@ -108,6 +114,16 @@
                    KeyCallResult result,
                    const std::string& handover,
                    BootTime now);
+  // The log contains a record at `offset` that cannot be decoded.
+  struct UnreadableRecord {
+    std::uint64_t offset = 0;
+    std::string key;
+    std::string reason;
+  };
+  // Returns the records found since the last call that cannot be decoded.
+  std::vector<UnreadableRecord> TakeUnreadableRecords() {
+    return std::exchange(unreadable_records_, {});
+  }
   // Ends the term with a resignation; IsStopped() returns whether that is
   // complete. `successor` is the instance that takes over, or empty for the
   // preferred leader.
@@ -189,6 +205,9 @@
   struct ServiceState {
     bool owns_keys = false;
     std::vector<RowState> rows;
+    // Until this time, any upstream may have grants of a table that could not
+    // be decoded.
+    BootTime unknown_grants_until{};
     KeyLoad load;
     BootTime next_plan{};
     BootTime first_upstream_at{};
@@ -211,6 +230,10 @@
   void ApplyRecord(std::uint64_t offset,
                    const GrantLogRecord& record,
                    BootTime now);
+  void ApplyUnreadable(std::uint64_t offset,
+                       const GrantLogRecord& record,
+                       const std::string& reason,
+                       BootTime now);
   void ApplyTerm(std::uint64_t offset,
                  const GrantTermRecord& term,
                  BootTime now);
@@ -306,6 +329,10 @@
   std::uint64_t last_change_offset_ = 0;
   std::uint64_t tables_version_ = 0;
   std::map<std::string, KeyTable, std::less<>> tables_;
+  // The services whose newest table record cannot be decoded; `tables_` has an
+  // earlier table, if any.
+  std::set<std::string, std::less<>> unreadable_tables_;
+  std::vector<UnreadableRecord> unreadable_records_;
   // Filled while this instance is the leader or collects updates, and with the
   // term that follows its own.
   std::vector<TableUpdate> updates_;
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -352,7 +352,8 @@
   if (now < state.next_plan && !changed)
     return std::nullopt;
   if (state.first_upstream_at == BootTime{} ||
-      now < state.first_upstream_at + kFirstPlanDelay)
+      now < state.first_upstream_at + kFirstPlanDelay ||
+      now < state.unknown_grants_until)
     return std::nullopt;
   state.next_plan = now + kPlanInterval;
   const std::vector<KeyOwnerCandidate> candidates =
@@ -394,7 +395,9 @@
     table.Assign(again);
     changed = true;
   }
-  if (!changed || table == known)
+  // The other instances cannot decode the present record.
+  const bool is_unreadable = unreadable_tables_.contains(service);
+  if (!is_unreadable && (!changed || table == known))
     return std::nullopt;
   return table;
 }
--- a/packages/grants/grant_log_record.cc
+++ b/packages/grants/grant_log_record.cc
@@ -132,6 +132,16 @@
   return {std::string(kTablePrefix) + record.service, std::move(value)};
 }
 
+bool IsTermKey(std::string_view key) {
+  return key == kTermKey;
+}
+
+std::optional<std::string> ServiceOfTableKey(std::string_view key) {
+  if (!key.starts_with(kTablePrefix))
+    return std::nullopt;
+  return std::string(key.substr(kTablePrefix.size()));
+}
+
 Result<ParsedGrantLogRecord> ParseGrantLogRecord(const GrantLogRecord& record) {
   std::optional<std::string> inflated;
   if (record.value.starts_with(kCompressed)) {
@@ -141,11 +151,11 @@
   }
   try {
     const json::value value = json::parse(inflated ? *inflated : record.value);
-    if (record.key == kTermKey)
+    if (IsTermKey(record.key))
       return ParsedGrantLogRecord(ParseGrantTerm(value));
-    if (record.key.starts_with(kTablePrefix)) {
-      return ParsedGrantLogRecord(TableRecord{
-          record.key.substr(kTablePrefix.size()), ParseTable(value)});
+    if (auto service = ServiceOfTableKey(record.key)) {
+      return ParsedGrantLogRecord(
+          TableRecord{std::move(*service), ParseTable(value)});
     }
   } catch (const std::exception&) {
     // Boost.JSON throws for a missing or mistyped field.
--- a/packages/grants/grant_log_record.h
+++ b/packages/grants/grant_log_record.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -68,6 +69,10 @@
 // Throws the exceptions of Boost.JSON for a malformed row, and
 // std::out_of_range for invalid keys.
 KeyAssignment ParseKeyRow(const boost::json::array& fields);
+// Whether records with this key start or end terms.
+bool IsTermKey(std::string_view key);
+// Returns the service if records with this key contain key tables.
+std::optional<std::string> ServiceOfTableKey(std::string_view key);
 // Fails with kUnsupportedRecord if the record is malformed or has an unknown
 // key.
 Result<ParsedGrantLogRecord> ParseGrantLogRecord(const GrantLogRecord& record);
