Announce the term of a leader that resigned and took over again

Cause: a term record of the known leader counts as a renewal, which needs no update. A relay that reads the newest records does not see that the leader resigned and took over again in between, for example because its successor did not. The relay's update of the table after that moved the offset of an instance that knew of the resignation past the new term. That instance took the leadership for vacant: as the preferred leader or the named successor it appended its own term at once, without a wait for the leader's lease and its grants, while that one went on granting keys.

Change: what a relay announces after a read of the newest records includes a term record that is newer than what it had, also of the same leader.

--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -64,6 +64,8 @@
   const bool is_announced = collects_updates_ || IsOwnTerm();
   const std::vector<TableUpdate> pending = TakeUpdates();
   const bool was_leader = is_leader_;
+  const std::uint64_t first_offset = next_offset_;
+  const std::uint64_t last_change_before = last_change_offset_;
   // The newest record of a key hides those before it, so the records describe
   // the state of the log only together.
   const bool collects = std::exchange(collects_updates_, true);
@@ -72,7 +74,18 @@
       ApplyRecord(entry.offset, entry.record, now);
   }
   collects_updates_ = collects;
-  const std::optional<TableUpdate> update = MergeUpdates(TakeUpdates());
+  std::vector<TableUpdate> updates = TakeUpdates();
+  // The leader of a newer record may be the known one and have resigned in
+  // between, which the other instances may know.
+  if (term_ && term_offset_ >= first_offset &&
+      std::ranges::none_of(updates, [](const TableUpdate& update) {
+        return update.term.has_value();
+      })) {
+    updates.push_back(
+        {"", term_offset_, last_change_before, {}, term_, term_offset_});
+    last_change_offset_ = std::max(last_change_offset_, term_offset_ + 1);
+  }
+  const std::optional<TableUpdate> update = MergeUpdates(updates);
   if (was_leader == is_leader_)
     updates_ = pending;
   if (update && is_announced)
--- a/packages/grants/table_update.cc
+++ b/packages/grants/table_update.cc
@@ -2,6 +2,8 @@
 
 #include "grants/table_update.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "base/json_text.h"
@@ -18,7 +20,7 @@
   TableUpdate merged;
   merged.unchanged_since = updates.front().unchanged_since;
   for (const TableUpdate& update : updates) {
-    merged.offset = update.offset;
+    merged.offset = std::max(merged.offset, update.offset);
     if (update.term) {
       merged.term = update.term;
       merged.term_offset = update.term_offset;
--- a/packages/grants/table_update.h
+++ b/packages/grants/table_update.h
@@ -35,9 +35,8 @@
   std::uint64_t term_offset = 0;
 };
 
-// Returns one update for all of `updates`, which are in order and each begin
-// where the previous one ends. Nothing if they change several tables or there
-// are none.
+// Returns one update for all of `updates`, of which the first has the lowest
+// `unchanged_since`. Nothing if they change several tables or there are none.
 std::optional<TableUpdate> MergeUpdates(
     const std::vector<TableUpdate>& updates);
 
--- a/packages/grants/table_update_test.cc
+++ b/packages/grants/table_update_test.cc
@@ -146,5 +146,32 @@
   CHECK(coordinator.tables().at("geodata").Find(7)->owner.name == "u1");
 }
 
+// Guards against a second leader: an instance that knows of a resignation only
+// would start a term at once, beside the leader that has taken over again.
+TEST_CASE("Updates of a relay include a term of the same leader") {
+  const auto log = MakeLog();
+  GrantTermRecord resignation = MakeTerm("front-1");
+  resignation.resigned = true;
+  const GrantCoordinator::LogEntry resigned{2,
+                                            EncodeGrantLogRecord(resignation)};
+  // The successor did not take over, and the former leader became it again.
+  const GrantCoordinator::LogEntry again{
+      3, EncodeGrantLogRecord(MakeTerm("front-1"))};
+  for (const bool table_changed : {false, true}) {
+    std::vector<GrantCoordinator::LogEntry> newest{again};
+    newest.push_back(table_changed ? log[4] : log[1]);
+    GrantCoordinator relay = MakeReader("front-3");
+    relay.set_collects_updates(true);
+    relay.OnNewestRecords(newest, table_changed ? 5 : 4, At(100ms));
+    GrantCoordinator coordinator = MakeReader("front-4");
+    coordinator.OnLogRecords({resigned}, 3, At(100ms), At(100ms));
+    for (const TableUpdate& update : relay.TakeUpdates())
+      CHECK(coordinator.OnTableUpdate(update, At(200ms)));
+    CHECK_FALSE(coordinator.term()->resigned);
+    coordinator.OnPreferredLeader(true, At(300ms), At(300ms));
+    CHECK_FALSE(coordinator.Poll(At(310ms)).append);
+  }
+}
+
 }  // namespace
 }  // namespace pollenrudder
