Announce no update across a record that the relay cannot decode

Two upstreams with the same keys, as with the other gaps in what a relay announces. It needs two services whose upstreams own keys, and a table record that cannot be decoded.

Cause: a relay that reads the newest records merges what they change into one update. A table record that it cannot decode yields no update, but the ones before and after it were merged as if they followed each other. An instance that applied the result moved its offset past the record, and took its older table of that service for the newest one. Of the class of the incident: an unknown state taken for a complete one.

Evidence: found in a review of the fixes. "Updates of a relay skip no record that the relay cannot decode" fails before the change: the instance is at offset 6 and does not read the log, although it lacks record 3.

Change: MergeUpdates() returns nothing if a change between two updates is missing, which receivers see as a gap.

--- a/packages/grants/table_update.cc
+++ b/packages/grants/table_update.cc
@@ -19,7 +19,10 @@
     return std::nullopt;
   TableUpdate merged;
   merged.unchanged_since = updates.front().unchanged_since;
+  merged.offset = updates.front().offset;
   for (const TableUpdate& update : updates) {
+    if (update.unchanged_since > merged.offset + 1)
+      return std::nullopt;
     merged.offset = std::max(merged.offset, update.offset);
     if (update.term) {
       merged.term = update.term;
--- a/packages/grants/table_update.h
+++ b/packages/grants/table_update.h
@@ -36,7 +36,8 @@
 };
 
 // Returns one update for all of `updates`, of which the first has the lowest
-// `unchanged_since`. Nothing if they change several tables or there are none.
+// `unchanged_since`. Nothing if they change several tables, if a change between
+// them is missing, or if there are none.
 std::optional<TableUpdate> MergeUpdates(
     const std::vector<TableUpdate>& updates);
 
--- a/packages/grants/table_update_test.cc
+++ b/packages/grants/table_update_test.cc
@@ -129,6 +129,30 @@
   CHECK(EncodeTableUpdate(passed_on[0]) == EncodeTableUpdate(*update));
 }
 
+// Guards against an instance that takes the table of a service for complete
+// although it lacks a record: a relay that cannot decode that record announced
+// the records around it, of another service and of the term, in one update.
+TEST_CASE("Updates of a relay skip no record that the relay cannot decode") {
+  const KeyTable archive({MakeRow(kLow, "a1", 4), MakeRow(kHigh, "a1", 4)});
+  const std::vector<GrantCoordinator::LogEntry> log{
+      {2, MakeTable({MakeRow(kLow, "u1", 2), MakeRow(kHigh, "u0", 1)})},
+      {3, {EncodeGrantLogRecord(TableRecord{"archive", archive}).key, "z\x01"}},
+      {4, EncodeGrantLogRecord(MakeTerm("front-2"))}};
+  GrantCoordinator relay = MakeReader("front-3");
+  relay.set_collects_updates(true);
+  relay.OnNewestRecords(log, 5, At(100ms));
+  GrantCoordinator coordinator = MakeReader("front-4");
+  for (const TableUpdate& update : relay.TakeUpdates())
+    (void)coordinator.OnTableUpdate(update, At(200ms));
+  // The next update of the leader contains what changed after its term.
+  TableUpdate next = UpdateOfLeader();
+  next.offset = 5;
+  next.unchanged_since = 5;
+  (void)coordinator.OnTableUpdate(next, At(210ms));
+  CHECK(coordinator.next_offset() <= 3);
+  CHECK(coordinator.NeedsLog());
+}
+
 // Guards against an instance that takes its table for complete after a read in
 // pages: a record that was appended during the read hides the record before it,
 // which lies within the part that counts as read.
