Wait for the former leader's lease if an owner is no longer listed

Two upstreams with the same keys: a leader that has lost the store, but not its way to the upstreams, renews its grants until its lease ends. Meanwhile its successor moves the keys of an upstream that has restarted at its address, for example behind a cut from the store.

Cause: the successor takes an owner that has accepted its token for one that rejects the former leader's grants. An upstream that restarts has forgotten that token, and the renewals that arrive next, with the former token, are accepted again, also after the successor had it release the keys. Of the class of the incident: an unknown state, of an owner that is not listed any more, taken for the known one.

"GrantCoordinator does not rely on the token of a restarted owner" fails before the change: the keys of u0 are granted to u1 at 2.86 s, and u0 holds them again from 3.9 s on.

Change: an owner that is no longer listed counts as one that has not accepted the token, so that its keys stay until the former leader's lease has ended (up to 4.6 s after the takeover), and are released after that. Nothing changes if another upstream has responded at its address.

What remains: an owner that restarts at its address after it has released keys to the new leader, and within the rest of the former leader's lease.

Result: the test and the other tests of the package pass, among them both property tests.

--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -38,9 +38,10 @@
 //   store call that confirmed its term. A new leader renews the recorded grants
 //   at once, for the same owners, with a token of its own term. It changes an
 //   assignment only when the former leader's lease has expired, or when the
-//   owner has accepted that token and so rejects the former leader's grants. It
-//   does not wait for a leader that resigned or that was an earlier incarnation
-//   of the same instance, but inherits the wait of that one.
+//   owner has accepted that token, is still listed and so rejects the former
+//   leader's grants. It does not wait for a leader that resigned or that was an
+//   earlier incarnation of the same instance, but inherits the wait of that
+//   one.
 // - Keys go to a new owner when the former one has released them or its grants
 //   have expired, and no unanswered grant can still take effect there; or when
 //   another upstream responds at its address. The time of a grant runs from its
@@ -303,6 +304,11 @@
                                    BootTime now) const;
   // Returns whether the former leader can no longer grant the keys of `row`.
   bool MayChangeOwner(const RowState& row, BootTime now) const;
+  // Returns whether `upstream`, which has accepted a grant of this term, still
+  // rejects those of earlier leaders. One that is not listed any more may have
+  // restarted at its address and have forgotten the token.
+  bool RejectsEarlierLeaders(const UpstreamIncarnation& upstream,
+                             const GrantExpiry& expiry) const;
   // Returns whether the keys of a moving row may be assigned to yet another
   // owner.
   bool MayReassign(const RowState& row, BootTime now) const;
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -204,7 +204,9 @@
                                      RowState& row,
                                      BootTime now,
                                      GrantActions& actions) {
-  if (now < changes_allowed_from_ && !row.former_confirmed)
+  if (now < changes_allowed_from_ &&
+      !(row.former_confirmed &&
+        RejectsEarlierLeaders(row.row.former->upstream, row.former_expiry)))
     return;
   if (row.row.former && !row.released && !row.release_call &&
       now >= row.next_release && now < row.former_expiry.end() &&
@@ -318,7 +320,14 @@
 
 bool GrantCoordinator::MayChangeOwner(const RowState& row, BootTime now) const {
   return now >= changes_allowed_from_ ||
-         (row.grant_accepted && !row.row.moving);
+         (row.grant_accepted && !row.row.moving &&
+          RejectsEarlierLeaders(row.row.owner, row.owner_expiry));
+}
+
+bool GrantCoordinator::RejectsEarlierLeaders(
+    const UpstreamIncarnation& upstream,
+    const GrantExpiry& expiry) const {
+  return expiry.HasIncarnationEnded() || FindIncarnation(upstream) != nullptr;
 }
 
 std::vector<KeyRange> GrantCoordinator::PinnedRows(const ServiceState& state,
--- a/packages/grants/grant_expiry.h
+++ b/packages/grants/grant_expiry.h
@@ -20,7 +20,10 @@
  public:
   // The call may be queued before it is sent, so its expiry is unknown until it
   // is answered or times out.
-  void OnSent() { pending_ = true; }
+  void OnSent() {
+    pending_ = true;
+    incarnation_ended_ = false;
+  }
   void OnAnswered(BootTime end) {
     pending_ = false;
     answered_until_ = std::max(answered_until_, end);
@@ -46,7 +49,10 @@
   void OnNotSent() { pending_ = false; }
   void OnReleased() { answered_until_ = {}; }
   // The upstream process no longer exists, so no grant can be in effect.
-  void OnIncarnationEnded() { *this = {}; }
+  void OnIncarnationEnded() {
+    *this = {};
+    incarnation_ended_ = true;
+  }
   // Accounts for grants that another instance may have sent and that may not
   // have arrived yet.
   void AssumeUnansweredUntil(BootTime end) {
@@ -65,6 +71,8 @@
     return std::max({unanswered_until_, undelivered_until_, assumed_until_});
   }
   bool HasCallPending() const { return pending_; }
+  // Whether the upstream process is known to have ended.
+  bool HasIncarnationEnded() const { return incarnation_ended_; }
   // Whether a call that was given up may still be under way.
   bool IsUndelivered() const { return undelivered_since_ != BootTime{}; }
   // The time after which the upstream can no longer use a grant.
@@ -83,6 +91,7 @@
   BootTime assumed_until_{};
   // A grant is queued or awaits its response.
   bool pending_ = false;
+  bool incarnation_ended_ = false;
 };
 
 }  // namespace pollenrudder
