Keep what is known of upstreams when the list is restored

The copy to which the store is restored is older than the list that the instances know. Upstreams that had started since were removed at once, although they write their entries again, and upstreams that were leaving or had left were ready again, so that requests were sent to them (DRAIN). Instances that the relay feeds all read the whole list, as the update began after their position.

Cause: removals were delayed only after a failed read, and an entry was taken as the latest state of its upstream, which does not hold for a copy.

Fleet now delays removals after a restoration as after an outage, on each instance, and the leader relays the differences with the removals. A leaving incarnation stays so. The leader relays an entry of the copy again once it is confirmed.

--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/log_position.h"
 #include "entry/entry_events.h"
 
 namespace pollenrudder {
@@ -180,7 +181,12 @@
     // A removal that is delayed here is still relayed to the other instances.
     if (!changed && !change.repeated && (change.entry || !was_listed))
       continue;
-    relevant.push_back(change);
+    // The entry in use may be newer than the change in what it says of leaving.
+    const ListedUpstream* entry = fleet_.Find(change.name);
+    if (change.entry && entry != nullptr)
+      relevant.push_back({change.name, *entry, change.repeated});
+    else
+      relevant.push_back(change);
     if (!changed && change.repeated)
       continue;
     if (!change.entry) {
@@ -210,7 +216,12 @@
     std::uint64_t previous_position,
     std::uint64_t position,
     const std::vector<ListedUpstream>& entries) {
-  const auto changes = fleet_.ReplaceAndCompare(entries, BootClock::now());
+  const bool restored = previous_position > 0 &&
+                        LogEpochOf(position) > LogEpochOf(previous_position);
+  const BootTime now = BootClock::now();
+  const auto changes = restored
+                           ? std::optional(fleet_.ReplaceRestored(entries, now))
+                           : fleet_.ReplaceAndCompare(entries, now);
   ApplyFleet();
   ScheduleRemovals();
   // With the differences, the other instances need not read the whole list,
@@ -277,6 +288,9 @@
   if (grant_driver_.coordinator().IsLeader())
     return;
   last_update_ = update;
+  if (feeds_ != nullptr && feeds_->list_position() > 0 &&
+      LogEpochOf(update.list_to) > LogEpochOf(feeds_->list_position()))
+    fleet_.OnListAvailable(BootClock::now());
   grant_driver_.OnRelayedUpdate(update);
   if (hop == InstanceChannel::Hop::kDirect)
     grant_driver_.SendToInstances(update);
--- a/packages/entry/relayed_update.cc
+++ b/packages/entry/relayed_update.cc
@@ -13,6 +13,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+// Without the field that only entries that may be outdated have.
 constexpr std::size_t kEntryFieldCount = 8;
 constexpr std::size_t kFieldsWithoutRelays = 6;
 
@@ -31,6 +32,8 @@
   fields.emplace_back(
       duration_cast<milliseconds>(entry.cold_remaining).count());
   fields.emplace_back(entry.started_at.count());
+  if (entry.may_be_outdated)
+    fields.emplace_back(true);
   return fields;
 }
 
@@ -48,6 +51,8 @@
   entry.leaving = fields.at(5).as_bool();
   entry.cold_remaining = milliseconds(fields.at(6).to_number<std::int64_t>());
   entry.started_at = milliseconds(fields.at(7).to_number<std::int64_t>());
+  if (fields.size() > kEntryFieldCount)
+    entry.may_be_outdated = fields.at(kEntryFieldCount).as_bool();
   change.entry = std::move(entry);
   return change;
 }
--- a/packages/entry/relayed_update.h
+++ b/packages/entry/relayed_update.h
@@ -18,7 +18,8 @@
 // leader is alive and reaches the store. It contains the changes of several
 // reads, so that a lost datagram leaves no gap.
 struct RelayedUpdate {
-  // The changes between two positions of the instance list.
+  // The changes between two positions of the instance list, which contain the
+  // epoch of the list (see base/log_position.h).
   std::uint64_t list_from = 0;
   std::uint64_t list_to = 0;
   std::vector<FleetChange> changes;
--- a/packages/entry/relayed_update_test.cc
+++ b/packages/entry/relayed_update_test.cc
@@ -23,7 +23,10 @@
   RelayedUpdate update;
   update.list_from = 3;
   update.list_to = 9;
-  update.changes = {{"i-1", entry}, {"i-2", std::nullopt}};
+  ListedUpstream outdated = entry;
+  outdated.name = "i-3";
+  outdated.may_be_outdated = true;
+  update.changes = {{"i-1", entry}, {"i-2", std::nullopt}, {"i-3", outdated}};
   update.configuration_version = 12;
   update.grant_log_offset = 40;
   update.configuration_sources = {{"a1", "10.0.0.2:7620"}};
@@ -38,12 +41,15 @@
   REQUIRE(parsed);
   CHECK(parsed->list_from == update.list_from);
   CHECK(parsed->list_to == update.list_to);
-  REQUIRE(parsed->changes.size() == 2);
+  REQUIRE(parsed->changes.size() == 3);
   REQUIRE(parsed->changes[0].entry);
   CHECK(parsed->changes[0].entry->SameIncarnation(*update.changes[0].entry));
   CHECK(parsed->changes[0].entry->address == "10.0.0.1:80");
   CHECK(parsed->changes[0].entry->leaving);
+  CHECK_FALSE(parsed->changes[0].entry->may_be_outdated);
   CHECK_FALSE(parsed->changes[1].entry);
+  REQUIRE(parsed->changes[2].entry);
+  CHECK(parsed->changes[2].entry->may_be_outdated);
   CHECK(parsed->configuration_version == 12);
   CHECK(parsed->grant_log_offset == 40);
   CHECK(parsed->configuration_sources == update.configuration_sources);
--- a/packages/fleet/feed_control.h
+++ b/packages/fleet/feed_control.h
@@ -15,8 +15,9 @@
  public:
   virtual ~FeedControl() = default;
 
-  // The position up to which the instance list has been read; it grows with
-  // each change.
+  // The position up to which the instance list has been read, with the epoch of
+  // the list (see base/log_position.h). It grows with each change and with each
+  // restoration from an earlier copy.
   virtual std::uint64_t list_position() const = 0;
   // Relayed changes have been applied up to `position`.
   virtual void AdvanceListPosition(std::uint64_t position) = 0;
--- a/packages/fleet/fleet.cc
+++ b/packages/fleet/fleet.cc
@@ -11,7 +11,8 @@
 bool Differs(const ListedUpstream& left, const ListedUpstream& right) {
   return !left.SameIncarnation(right) || left.leaving != right.leaving ||
          left.slots != right.slots || left.service != right.service ||
-         left.zone != right.zone;
+         left.zone != right.zone ||
+         left.may_be_outdated != right.may_be_outdated;
 }
 
 }  // namespace
@@ -19,13 +20,24 @@
 bool Fleet::Apply(const FleetChange& change, BootTime now) {
   if (!change.entry)
     return Remove(change.name, now);
-  pending_removals_.erase(change.name);
+  if (change.entry->may_be_outdated) {
+    if (IsFormer(*change.entry))
+      return false;
+  } else {
+    pending_removals_.erase(change.name);
+  }
+  removed_.erase(change.name);
   const auto [it, added] = upstreams_.try_emplace(change.name, *change.entry);
   if (added)
     return true;
   ListedUpstream& current = it->second;
-  const bool changed = Differs(current, *change.entry);
-  current = *change.entry;
+  ListedUpstream next = *change.entry;
+  if (next.SameIncarnation(current)) {
+    next.leaving |= current.leaving;
+    next.may_be_outdated &= current.may_be_outdated;
+  }
+  const bool changed = Differs(current, next);
+  current = std::move(next);
   return changed;
 }
 
@@ -53,6 +65,22 @@
   Replace(entries, now);
   if (now < delay_removals_until_)
     return std::nullopt;
+  return ChangesSince(before);
+}
+
+std::vector<FleetChange> Fleet::ReplaceRestored(
+    const std::vector<ListedUpstream>& entries,
+    BootTime now) {
+  OnListAvailable(now);
+  const auto before = upstreams_;
+  Replace(entries, now);
+  std::vector<FleetChange> changes = ChangesSince(before);
+  for (const auto& [name, time] : pending_removals_)
+    changes.push_back({name, std::nullopt});
+  return changes;
+}
+
+std::vector<FleetChange> Fleet::ChangesSince(const Upstreams& before) const {
   std::vector<FleetChange> changes;
   for (const auto& [name, entry] : before) {
     if (!upstreams_.contains(name))
@@ -77,8 +105,9 @@
       ++it;
       continue;
     }
-    upstreams_.erase(it->first);
+    const std::string name = it->first;
     it = pending_removals_.erase(it);
+    Erase(name, now);
     changed = true;
   }
   return changed;
@@ -108,8 +137,26 @@
     return false;
   }
   pending_removals_.erase(name);
-  upstreams_.erase(it);
+  Erase(name, now);
   return true;
 }
 
+void Fleet::Erase(const std::string& name, BootTime now) {
+  const auto it = upstreams_.find(name);
+  std::erase_if(removed_, [now](const auto& removed) {
+    return removed.second.removed_at + kRemovedRetention < now;
+  });
+  removed_[name] = {it->second.started_at, now};
+  upstreams_.erase(it);
+}
+
+bool Fleet::IsFormer(const ListedUpstream& entry) const {
+  const ListedUpstream* current = Find(entry.name);
+  if (current != nullptr)
+    return entry.started_at < current->started_at;
+  const auto removed = removed_.find(entry.name);
+  return removed != removed_.end() &&
+         entry.started_at <= removed->second.started_at;
+}
+
 }  // namespace pollenrudder
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -17,13 +17,19 @@
 
 namespace pollenrudder {
 
-// Keeps the entries of the instance list and delays some removals.
+// Keeps the entries of the instance list and delays some removals. An
+// incarnation that is leaving stays so.
 //
 // The list removes an upstream whose entry has expired, even if it expired
 // while the list was unavailable. Upstreams whose entries expired during such
 // an outage are listed again soon after it, so a removal that is read then is
 // applied only after kRemovalDelay.
 //
+// The list may be restored from an earlier copy of itself. Upstreams that
+// started since are listed again soon after it. Upstreams that have left since
+// are in the copy, so that an entry that may be outdated does not bring back an
+// incarnation that was removed before.
+//
 //   fleet.Apply(change, now);        // each change of the list
 //   fleet.Replace(entries, now);     // each read of the whole list
 //   fleet.ApplyDueRemovals(now);     // at NextRemoval()
@@ -47,7 +53,15 @@
       const std::vector<ListedUpstream>& entries,
       BootTime now);
 
-  // The list can be read again after an outage.
+  // As Replace(), with the first list after it was restored from an earlier
+  // copy. Returns the changes that matter for routing and the removals that are
+  // delayed; other instances delay these themselves.
+  std::vector<FleetChange> ReplaceRestored(
+      const std::vector<ListedUpstream>& entries,
+      BootTime now);
+
+  // The list can be read again after an outage, or was restored from an earlier
+  // copy.
   void OnListAvailable(BootTime now);
 
   // Applies the delayed removals that are due; returns whether there were any.
@@ -62,9 +76,28 @@
   const ListedUpstream* Find(std::string_view name) const;
 
  private:
+  // How long removed upstreams are remembered. The list may be restored from a
+  // copy that is some seconds old.
+  static constexpr std::chrono::minutes kRemovedRetention{10};
+
+  struct RemovedUpstream {
+    std::chrono::milliseconds started_at{0};
+    BootTime removed_at{};
+  };
+  using Upstreams = std::map<std::string, ListedUpstream, std::less<>>;
+
   bool Remove(const std::string& name, BootTime now);
+  void Erase(const std::string& name, BootTime now);
+  // Returns whether `entry` is of an incarnation that was removed or replaced
+  // by a later one.
+  bool IsFormer(const ListedUpstream& entry) const;
+  // Returns the changes since `before` that matter for routing.
+  std::vector<FleetChange> ChangesSince(const Upstreams& before) const;
 
-  std::map<std::string, ListedUpstream, std::less<>> upstreams_;
+  Upstreams upstreams_;
+  // The last removed incarnation of each name. Invariant: no name is in
+  // upstreams_.
+  std::map<std::string, RemovedUpstream, std::less<>> removed_;
   // Invariant: each name is in upstreams_.
   std::map<std::string, BootTime, std::less<>> pending_removals_;
   // Removals before this time are delayed until this time.
--- a/packages/fleet/fleet_test.cc
+++ b/packages/fleet/fleet_test.cc
@@ -90,5 +90,104 @@
   CHECK(fleet.Find("d") != nullptr);
 }
 
+ListedUpstream OutdatedEntry(std::string name) {
+  ListedUpstream entry = Entry(std::move(name));
+  entry.may_be_outdated = true;
+  return entry;
+}
+
+// Guards against the loss of upstreams that started after the copy to which the
+// list was restored, and against other instances that keep or read the whole
+// list instead of the changes.
+TEST_CASE("Fleet delays removals after the list was restored") {
+  Fleet fleet;
+  fleet.Apply({"a", Entry("a")}, At(0ms));
+  fleet.Apply({"b", Entry("b")}, At(0ms));
+  const auto changes = fleet.ReplaceRestored(
+      {OutdatedEntry("a"), OutdatedEntry("c")}, At(1000ms));
+  CHECK(fleet.Find("b") != nullptr);
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0].name == "c");
+  CHECK(changes[0].entry->may_be_outdated);
+  CHECK(changes[1].name == "b");
+  CHECK_FALSE(changes[1].entry);
+  SECTION("an upstream that is listed again stays") {
+    CHECK_FALSE(fleet.Apply({"b", Entry("b")}, At(1500ms)));
+    CHECK_FALSE(fleet.ApplyDueRemovals(At(5000ms)));
+  }
+  SECTION("an upstream that stays missing is removed after the delay") {
+    CHECK_FALSE(fleet.ApplyDueRemovals(At(2900ms)));
+    CHECK(fleet.ApplyDueRemovals(At(3000ms)));
+    CHECK(fleet.Find("b") == nullptr);
+  }
+}
+
+// Guards against requests to an upstream that is leaving: the copy to which the
+// list was restored has its former state.
+TEST_CASE("Fleet does not let a leaving upstream become available again") {
+  Fleet fleet;
+  ListedUpstream leaving = Entry("a");
+  leaving.leaving = true;
+  fleet.Apply({"a", leaving}, At(0ms));
+  CHECK(fleet.ReplaceRestored({OutdatedEntry("a")}, At(10ms)).empty());
+  CHECK(fleet.Find("a")->leaving);
+  CHECK_FALSE(fleet.Apply({"a", Entry("a")}, At(20ms)));
+  CHECK(fleet.Find("a")->leaving);
+  // A later incarnation under the same name is available.
+  ListedUpstream restarted = Entry("a");
+  restarted.started_at = 9ms;
+  CHECK(fleet.Apply({"a", restarted}, At(30ms)));
+  CHECK_FALSE(fleet.Find("a")->leaving);
+  // The copy may have the former incarnation.
+  fleet.ReplaceRestored({OutdatedEntry("a")}, At(40ms));
+  CHECK(fleet.Find("a")->started_at == 9ms);
+}
+
+// Guards against requests to an upstream that has ended and is in the copy to
+// which the list was restored.
+TEST_CASE("Fleet does not bring back a removed upstream from a copy") {
+  Fleet fleet;
+  fleet.Apply({"a", Entry("a")}, At(0ms));
+  SECTION("that was removed at once") {
+    fleet.Apply({"a", std::nullopt}, At(10ms));
+  }
+  SECTION("whose removal was delayed") {
+    fleet.OnListAvailable(At(0ms));
+    fleet.Apply({"a", std::nullopt}, At(10ms));
+    CHECK(fleet.ApplyDueRemovals(At(2000ms)));
+  }
+  CHECK(fleet.ReplaceRestored({OutdatedEntry("a")}, At(3000ms)).empty());
+  CHECK(fleet.Find("a") == nullptr);
+  CHECK_FALSE(fleet.Apply({"a", OutdatedEntry("a")}, At(3100ms)));
+  CHECK(fleet.Find("a") == nullptr);
+  // It has written its entry again.
+  CHECK(fleet.Apply({"a", Entry("a")}, At(3200ms)));
+  CHECK(fleet.Find("a") != nullptr);
+}
+
+// As above, for an upstream whose removal is still delayed: the copy does not
+// show that it is alive.
+TEST_CASE("Fleet removes an upstream that only a copy lists again") {
+  Fleet fleet;
+  fleet.Apply({"a", Entry("a")}, At(0ms));
+  fleet.OnListAvailable(At(0ms));
+  fleet.Apply({"a", std::nullopt}, At(10ms));
+  fleet.ReplaceRestored({OutdatedEntry("a")}, At(100ms));
+  CHECK(fleet.ApplyDueRemovals(At(2100ms)));
+  CHECK(fleet.Find("a") == nullptr);
+}
+
+// Guards against an instance that lacks an upstream for good: it refuses the
+// entry of the copy, and the leader relays no later one.
+TEST_CASE("Fleet reports an entry from a copy again once it is confirmed") {
+  Fleet fleet;
+  fleet.ReplaceRestored({OutdatedEntry("a")}, At(0ms));
+  CHECK(fleet.Apply({"a", Entry("a")}, At(10ms)));
+  CHECK_FALSE(fleet.Apply({"a", Entry("a")}, At(20ms)));
+  // What was known before needs no confirmation.
+  CHECK(fleet.ReplaceRestored({OutdatedEntry("a")}, At(30ms)).empty());
+  CHECK_FALSE(fleet.Apply({"a", Entry("a")}, At(40ms)));
+}
+
 }  // namespace
 }  // namespace pollenrudder
--- a/packages/fleet/listed_upstream.h
+++ b/packages/fleet/listed_upstream.h
@@ -27,6 +27,9 @@
   std::chrono::nanoseconds cold_remaining{0};
   // Start time of this incarnation; differs between incarnations with one name.
   std::chrono::milliseconds started_at{0};
+  // The entry may have been written before the list was restored from an
+  // earlier copy, so that the upstream may have left since.
+  bool may_be_outdated = false;
 
   // Returns whether both entries describe the same incarnation.
   bool SameIncarnation(const ListedUpstream& other) const {
