Relay that an upstream whose removal was delayed is listed again

An instance that gets the list through the relay lost an upstream for good: the leader relays a delayed removal at once, so that other instances start their own delay, but not the entry that ends the delay. At the leader that entry changes nothing that matters for routing, while each instance fed by it removes the upstream 2 s later.

Before this change the section "an upstream that writes its entry again stays" of "An instance follows a restored list through the relay" fails with status 503 instead of 200. By reading, the same holds after an outage of the list that the leader and the other instances notice.

--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -177,9 +177,14 @@
   std::vector<FleetChange> relevant;
   for (const FleetChange& change : changes) {
     const bool was_listed = fleet_.Find(change.name) != nullptr;
+    const bool was_removed = fleet_.IsRemovalPending(change.name);
     const bool changed = fleet_.Apply(change, now);
-    // A removal that is delayed here is still relayed to the other instances.
-    if (!changed && !change.repeated && (change.entry || !was_listed))
+    // A removal that is delayed here is still relayed to the other instances,
+    // and so is an entry that ends the delay.
+    const bool is_withdrawn =
+        was_removed && !fleet_.IsRemovalPending(change.name);
+    if (!changed && !is_withdrawn && !change.repeated &&
+        (change.entry || !was_listed))
       continue;
     // The entry in use may be newer than the change in what it says of leaving.
     const ListedUpstream* entry = fleet_.Find(change.name);
--- a/packages/fleet/fleet.h
+++ b/packages/fleet/fleet.h
@@ -68,6 +68,9 @@
   bool ApplyDueRemovals(BootTime now);
   // Returns when the next delayed removal is due, or nothing if there is none.
   std::optional<BootTime> NextRemoval() const;
+  bool IsRemovalPending(std::string_view name) const {
+    return pending_removals_.contains(name);
+  }
 
   const std::map<std::string, ListedUpstream, std::less<>>& upstreams() const {
     return upstreams_;
