Serve the configuration again after the store was restored

The relayed updates name the newer version, but its sources only for 5 s after it was applied; without a source the instance reads the store again, which still has the older one.

ConfigurationRelay keeps the text of its last document, and each instance serves it for 5 s more when it learns that the store was restored. If no source has the version, the instance reads the store with each update, as before.

--- a/packages/entry/configuration_relay.cc
+++ b/packages/entry/configuration_relay.cc
@@ -135,11 +135,18 @@
     std::shared_ptr<const ConfigurationDocument> document) {
   document_ = std::move(document);
   compressed_.clear();
+  ServeAgain();
+}
+
+void ConfigurationRelay::ServeAgain() {
+  if (!document_)
+    return;
+  serving_ = true;
   serve_timer_.expires_after(kServeDuration);
   serve_timer_.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
-    document_.reset();
+    serving_ = false;
     compressed_.clear();
     compressed_.shrink_to_fit();
   });
@@ -149,7 +156,7 @@
   path.remove_prefix(std::min(path.size(), kPath.size()));
   const auto version = ParseNumber(path);
   HttpResponse response;
-  if (!version || !document_ || document_->version < *version) {
+  if (!version || !serving_ || document_->version < *version) {
     response.status = 503;
     return response;
   }
--- a/packages/entry/configuration_relay.h
+++ b/packages/entry/configuration_relay.h
@@ -55,8 +55,11 @@
   // Serves `document` for a few seconds, within which the other instances fetch
   // it.
   void Serve(std::shared_ptr<const ConfigurationDocument> document);
+  // Serves the last document for a few seconds more, if there is one, because
+  // other instances may read an earlier one from the store.
+  void ServeAgain();
   // Returns whether a document is being served.
-  bool IsServing() const { return document_ != nullptr; }
+  bool IsServing() const { return serving_; }
   // Returns the response to a request whose path begins with kPath.
   HttpResponse HandleRequest(std::string_view path);
 
@@ -77,8 +80,9 @@
   std::shared_ptr<HttpClient> client_;
   boost::asio::steady_timer retry_timer_;
 
-  // Source.
+  // Source: the last document. Invariant: it is set while serving_ is.
   std::shared_ptr<const ConfigurationDocument> document_;
+  bool serving_ = false;
   // The compressed text of document_; empty until the first request.
   std::string compressed_;
   boost::asio::steady_timer serve_timer_;
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -223,6 +223,8 @@
     const std::vector<ListedUpstream>& entries) {
   const bool restored = previous_position > 0 &&
                         LogEpochOf(position) > LogEpochOf(previous_position);
+  if (restored)
+    configuration_relay_.ServeAgain();
   const BootTime now = BootClock::now();
   const auto changes = restored
                            ? std::optional(fleet_.ReplaceRestored(entries, now))
@@ -294,8 +296,10 @@
     return;
   last_update_ = update;
   if (feeds_ != nullptr && feeds_->list_position() > 0 &&
-      LogEpochOf(update.list_to) > LogEpochOf(feeds_->list_position()))
+      LogEpochOf(update.list_to) > LogEpochOf(feeds_->list_position())) {
     fleet_.OnListAvailable(BootClock::now());
+    configuration_relay_.ServeAgain();
+  }
   grant_driver_.OnRelayedUpdate(update);
   if (hop == InstanceChannel::Hop::kDirect)
     grant_driver_.SendToInstances(update);
