Continue the grants in a log that replaced the former one

Cause: the grant leader read its log from an offset that the copy does not have, got 410, and read the newest records, which confirm no term. Its lease expired, every grant ended, and nobody took over: all instances kept the offset of the former log, behind which records that are written anew count as known. Beneath that, offsets are the fencing tokens and the condition of appends, both of which would repeat; and a restored table names former owners of keys that were granted elsewhere since. Of the class of the first matter: a state that is not known is taken for a known one.

Change: the log counts its replacements as epochs. Positions, and so tokens, contain the epoch. Records of former epochs are not returned, and those of each epoch have keys of their own, because an append may be executed late, in the copy. Until the new log has a term, its state is unknown. The leader of the former log goes on with the tables that it knows and appends a new term. Another leader, on the part of the log that was lost, can have moved only keys whose owner had seen its token, as long as not all earlier grants have expired. So each row is renewed with the token used before, which its owner rejects then, before it gets one of the new term and may move. The tables are written when the owners have confirmed them, after a second at most; rows that are not confirmed wait until every grant of earlier leaders has expired. Any other instance knows no table in the new epoch: it lets the former leader take over first, and then waits for all grants.

--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -83,6 +83,10 @@
 inline constexpr LogEvent kGrantRecordUnreadable{
     9024, "grant_record_unreadable", LogLevel::kError};
 
+// The grant log was replaced by an earlier copy of itself.
+inline constexpr LogEvent kGrantLogReplaced{9025, "grant_log_replaced",
+                                            LogLevel::kWarning};
+
 }  // namespace pollenrudder
 
 #endif  // POLLENRUDDER_ENTRY_ENTRY_EVENTS_H_
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -351,6 +351,7 @@
 void EntryInstance::OnListAvailable() {
   fleet_.OnListAvailable(BootClock::now());
   EventLog::Write(kListAvailable, {{"upstreams", fleet_.upstreams().size()}});
+  grant_driver_.OnStoreAvailable();
 }
 
 void EntryInstance::ApplyFleet() {
--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -176,6 +176,12 @@
     ReadLog();
 }
 
+void GrantDriver::OnStoreAvailable() {
+  // The log may have been replaced; only the leader can continue in it at once.
+  if (coordinator_.IsLeader())
+    ReadLog();
+}
+
 void GrantDriver::OnLogEnd(std::uint64_t offset) {
   coordinator_.OnLastChange(offset);
   ReadLogIfNeeded();
@@ -282,6 +288,8 @@
                                    batch.value().end, BootClock::now());
       PublishChanges();
       ScheduleRead();
+      // A leader continues at once in a log that replaced the former one.
+      Poll();
       return;
     }
     read_timer_.expires_after(kRetryDelay);
@@ -393,6 +401,13 @@
                                              {"reason", record.reason}});
   }
   const bool is_leader = coordinator_.IsLeader();
+  if (coordinator_.log_epoch() != log_epoch_) {
+    log_epoch_ = coordinator_.log_epoch();
+    EventLog::Write(kGrantLogReplaced,
+                    {{"epoch", log_epoch_},
+                     {"position", coordinator_.next_offset()},
+                     {"continues", is_leader ? 1 : 0}});
+  }
   if (is_leader != was_leader_) {
     was_leader_ = is_leader;
     leader_started_at_ = now;
--- a/packages/entry/grant_driver.h
+++ b/packages/entry/grant_driver.h
@@ -84,6 +84,8 @@
   // While the relay is active, the log is read only when an update shows that
   // it has grown.
   void SetRelayActive(bool active);
+  // The store can be reached again after an outage.
+  void OnStoreAvailable();
   // Another instance reports that the log ends at `offset`.
   void OnLogEnd(std::uint64_t offset);
   // Sends `update` to the instances that report to this one.
@@ -169,6 +171,7 @@
   // Until then, missed updates are expected from the relay.
   BootTime updates_requested_until_{};
   std::uint64_t published_tables_version_ = 0;
+  std::uint64_t log_epoch_ = 0;
   std::uint32_t instances_ = 1;
   // The leader counts the instances; the store's group has only some of them.
   bool instances_counted_ = false;
--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <variant>
 
+#include "base/log_position.h"
+
 namespace pollenrudder {
 namespace {
 
@@ -23,6 +25,8 @@
 // How long a replaced upstream gets no keys; the instance list may still name
 // it for a while.
 constexpr milliseconds kReplacedExclusion{4000};
+// Owners that have not confirmed their rows by then are likely lost.
+constexpr milliseconds kConfirmationTime{1000};
 // Minimum time between changes of the tables. A record holds all rows, so large
 // tables change less often.
 constexpr milliseconds kMinChangeInterval{20};
@@ -37,6 +41,9 @@
                                     std::uint64_t end,
                                     BootTime sent_at,
                                     BootTime now) {
+  // The response of a former log may arrive late.
+  if (LogEpochOf(end) != LogEpochOf(next_offset_))
+    return;
   for (const LogEntry& entry : records) {
     if (entry.offset >= next_offset_)
       ApplyRecord(entry.offset, entry.record, now);
@@ -52,6 +59,8 @@
 void GrantCoordinator::OnNewestRecords(std::vector<LogEntry> records,
                                        std::uint64_t end,
                                        BootTime now) {
+  if (LogEpochOf(end) < log_epoch())
+    return;
   misses_update_ = false;
   // The newest records are read in pages, which are not a consistent snapshot.
   // A record that was appended during the read hides an earlier one of the same
@@ -61,6 +70,10 @@
   if (needs_log_)
     return;
   std::ranges::sort(records, {}, &LogEntry::offset);
+  if (LogEpochOf(end) > LogEpochOf(next_offset_)) {
+    OnReplacedLog(records, end, now);
+    return;
+  }
   const bool is_announced = collects_updates_ || IsOwnTerm();
   const std::vector<TableUpdate> pending = TakeUpdates();
   const bool was_leader = is_leader_;
@@ -94,6 +107,109 @@
   log_was_read_ = true;
 }
 
+std::uint64_t GrantCoordinator::log_epoch() const {
+  return LogEpochOf(ClaimOffset());
+}
+
+void GrantCoordinator::OnReplacedLog(const std::vector<LogEntry>& records,
+                                     std::uint64_t end,
+                                     BootTime now) {
+  if (LogEpochOf(end) > log_epoch()) {
+    replaced_log_ = ReplacedLog{end, now};
+    KeepStateOfLostLog(now);
+  }
+  replaced_log_->end = std::max(replaced_log_->end, end);
+  const auto term = std::ranges::find_if(records, [](const LogEntry& entry) {
+    return IsTermKey(entry.record.key);
+  });
+  if (term == records.end())
+    return;
+  FollowReplacedLog(end);
+  for (const LogEntry& entry : records)
+    ApplyRecord(entry.offset, entry.record, now);
+  next_offset_ = std::max(next_offset_, end);
+  log_was_read_ = true;
+}
+
+void GrantCoordinator::KeepStateOfLostLog(BootTime now) {
+  if (!is_leader_)
+    return;
+  const GrantDurations& times = options_.times;
+  // Until then, a leader on the lost part of the log can have moved keys only
+  // of owners that have seen its token: others keep their grants. A resignation
+  // of this leader may have been on that part, too.
+  const BootTime known_until =
+      AllGrantsEnd(term_confirmed_at_ + times.leader_lease_duration);
+  if (now >= known_until || stopping_ || transferring_) {
+    ClearLeaderState();
+    return;
+  }
+  log_replaced_at_ = now;
+  const BootTime calls_end =
+      now + times.WithDriftMargin(times.leader_lease_duration);
+  changes_allowed_from_ = std::max(changes_allowed_from_, calls_end);
+  unknown_grants_until_ =
+      std::max(unknown_grants_until_, AllGrantsEnd(calls_end));
+  for (auto& [service, state] : services_) {
+    // After the lease, another leader could also have granted keys without an
+    // owner.
+    if (!IsActive(now) && !tables_[service].Gaps().empty()) {
+      unknown_tables_.insert(service);
+      tables_[service] = KeyTable();
+      ++tables_version_;
+      state.rows.clear();
+    }
+    for (RowState& row : state.rows) {
+      row.grant_accepted = false;
+      // Within the lease, no other leader could change rows that move.
+      if (row.row.moving && IsActive(now)) {
+        row.former_confirmed = true;
+        continue;
+      }
+      row.unrecorded_owner_until =
+          std::max(row.unrecorded_owner_until, unknown_grants_until_);
+      if (row.row.moving)
+        continue;
+      if (!row.unconfirmed_token)
+        row.unconfirmed_token = CallToken(row.row.token);
+      row.next_grant = now;
+    }
+  }
+}
+
+void GrantCoordinator::FollowReplacedLog(std::uint64_t offset) {
+  next_offset_ = offset;
+  last_change_offset_ = offset;
+  replaced_log_.reset();
+  recorded_tables_.clear();
+  unreadable_tables_.clear();
+  // A leader compares the new term with its former one.
+  if (!is_leader_)
+    term_.reset();
+}
+
+void GrantCoordinator::ContinueLeadership(std::uint64_t offset,
+                                          const GrantTermRecord& term,
+                                          BootTime now) {
+  term_ = term;
+  term_offset_ = offset;
+  term_token_ = offset;
+  leader_seen_at_ = now;
+  last_change_offset_ = offset + 1;
+  confirm_until_ = now + kConfirmationTime;
+}
+
+BootTime GrantCoordinator::AllGrantsEnd(BootTime calls_end) const {
+  const GrantDurations& times = options_.times;
+  return calls_end + times.call_timeout + times.max_delivery_time +
+         times.WithDriftMargin(times.grant_ttl);
+}
+
+bool GrantCoordinator::IsTableUnknown(const std::string& service) const {
+  return unreadable_tables_.contains(service) ||
+         (LogEpochOf(next_offset_) > 0 && !recorded_tables_.contains(service));
+}
+
 bool GrantCoordinator::IsOwnTerm() const {
   return term_ && term_->instance == options_.instance &&
          term_->incarnation == options_.incarnation;
@@ -132,12 +248,17 @@
 void GrantCoordinator::ApplyTerm(std::uint64_t offset,
                                  const GrantTermRecord& term,
                                  BootTime now) {
+  const bool is_own = term.instance == options_.instance &&
+                      term.incarnation == options_.incarnation;
+  if (is_leader_ && is_own && !term.resigned &&
+      LogEpochOf(offset) > LogEpochOf(term_offset_)) {
+    ContinueLeadership(offset, term, now);
+    return;
+  }
   const bool follows_own_term = IsOwnTerm();
   const std::optional<GrantTermRecord> former = std::exchange(term_, term);
   term_offset_ = offset;
   leader_seen_at_ = now;
-  const bool is_own = term.instance == options_.instance &&
-                      term.incarnation == options_.incarnation;
   const bool same_leader = former && former->instance == term.instance &&
                            former->incarnation == term.incarnation &&
                            !former->resigned;
@@ -160,9 +281,17 @@
 
 void GrantCoordinator::ApplyTable(std::uint64_t offset,
                                   const TableRecord& record) {
+  // The other instances have to read this record even if this one knew its
+  // table.
+  const bool was_unknown = IsTableUnknown(record.service);
   unreadable_tables_.erase(record.service);
+  recorded_tables_.insert(record.service);
+  if (is_leader_) {
+    known_tables_.insert(record.service);
+    unknown_tables_.erase(record.service);
+  }
   KeyTable& table = tables_[record.service];
-  if (table == record.table)
+  if (table == record.table && !was_unknown)
     return;
   if (is_leader_ || collects_updates_) {
     TableUpdate update{record.service, offset, last_change_offset_, {}, {}, 0};
@@ -187,8 +316,10 @@
 bool GrantCoordinator::OnTableUpdate(const TableUpdate& update, BootTime now) {
   if (is_leader_ || update.offset < next_offset_)
     return true;
+  const bool is_table_unknown =
+      !update.service.empty() && IsTableUnknown(update.service);
   if (!log_was_read_ || update.unchanged_since > next_offset_ ||
-      unreadable_tables_.contains(update.service)) {
+      is_table_unknown) {
     misses_update_ = true;
     return false;
   }
@@ -217,23 +348,30 @@
   return std::exchange(updates_, {});
 }
 
-milliseconds GrantCoordinator::ChangeDelayAfterClaim() const {
+milliseconds GrantCoordinator::ChangeDelayAfterClaim(BootTime now) const {
+  const auto lease_duration =
+      options_.times.WithDriftMargin(options_.times.leader_lease_duration);
+  // Leaders of the former log had their last confirmation before it was
+  // replaced.
+  if (replaced_log_) {
+    return std::chrono::ceil<milliseconds>(std::max<std::chrono::nanoseconds>(
+        replaced_log_->seen_at + lease_duration - now, {}));
+  }
   if (!term_)
     return milliseconds(0);
   // A leader that resigned has no call in progress, and an earlier incarnation
   // of this instance has ended. Only leaders before them may still send grants.
   if (term_->resigned || term_->instance == options_.instance)
     return term_->change_delay;
-  return std::chrono::ceil<milliseconds>(
-      options_.times.WithDriftMargin(options_.times.leader_lease_duration));
+  return std::chrono::ceil<milliseconds>(lease_duration);
 }
 
-GrantTermRecord GrantCoordinator::MakeClaim() const {
+GrantTermRecord GrantCoordinator::MakeClaim(BootTime now) const {
   GrantTermRecord term;
   term.instance = options_.instance;
   term.incarnation = options_.incarnation;
   term.report_address = options_.report_address;
-  term.change_delay = ChangeDelayAfterClaim();
+  term.change_delay = ChangeDelayAfterClaim(now);
   return term;
 }
 
@@ -267,11 +405,15 @@
 
 void GrantCoordinator::TransferLeadership(const std::string& successor,
                                           BootTime now) {
-  if (!is_leader_ || stopping_ || transferring_ || now < changes_allowed_from_)
+  if (!is_leader_ || stopping_ || transferring_ || replaced_log_ ||
+      now < changes_allowed_from_)
     return;
   // A successor would have to wait for the grants of a table that it does not
   // know.
-  if (!unreadable_tables_.empty())
+  if (!unreadable_tables_.empty() ||
+      std::ranges::any_of(services_, [this](const auto& entry) {
+        return entry.second.owns_keys && IsTableUnknown(entry.first);
+      }))
     return;
   transferring_ = true;
   successor_ = successor;
@@ -302,22 +444,26 @@
   replaces_successor_ = former && former->resigned &&
                         !former->successor.empty() &&
                         former->successor != options_.instance;
-  const GrantDurations& times = options_.times;
   changes_allowed_from_ = now + change_delay;
   // By this time, the last grant of an earlier leader has been answered or has
   // timed out, has arrived, and has expired.
-  BootTime answered_until = changes_allowed_from_ + times.call_timeout +
-                            times.max_delivery_time +
-                            times.WithDriftMargin(times.grant_ttl);
-  const bool no_wait =
-      !former || (former->resigned && change_delay.count() == 0);
+  const BootTime answered_until = AllGrantsEnd(changes_allowed_from_);
+  // A later epoch had leaders before it.
+  const bool is_first_term = !former && LogEpochOf(offset) == 0;
+  const bool no_wait = is_first_term || (former && former->resigned &&
+                                         change_delay.count() == 0);
   const BootTime unanswered_until =
       no_wait ? now + (former ? former->unanswered_grant_ttl : milliseconds(0))
               : answered_until;
-  for (const std::string& service : unreadable_tables_) {
-    tables_[service] = KeyTable();
+  unknown_grants_until_ = answered_until;
+  known_tables_ = recorded_tables_;
+  unknown_tables_ = unreadable_tables_;
+  absent_tables_unknown_ = LogEpochOf(offset) > 0;
+  for (auto& [service, table] : tables_) {
+    if (!IsTableUnknown(service))
+      continue;
+    table = KeyTable();
     ++tables_version_;
-    services_[service].unknown_grants_until = answered_until;
   }
   for (auto& [service, table] : tables_) {
     ServiceState& state = services_[service];
@@ -342,11 +488,11 @@
   transferring_ = false;
   term_confirmed_at_ = {};
   changes_allowed_from_ = {};
+  unknown_grants_until_ = {};
   calls_.clear();
   updates_.clear();
   for (auto& [service, state] : services_) {
     state.rows.clear();
-    state.unknown_grants_until = {};
     state.load = {};
   }
 }
@@ -357,7 +503,12 @@
   if (!append_)
     return;
   const LogAppend append = *std::exchange(append_, std::nullopt);
+  // Nobody will ever read the records.
+  if (LogEpochOf(append.at) < log_epoch())
+    return;
   if (result == LogAppendResult::kDone) {
+    if (replaced_log_ && append.at == replaced_log_->end)
+      FollowReplacedLog(append.at);
     if (append.at == next_offset_) {
       for (const GrantLogRecord& record : append.records)
         ApplyRecord(next_offset_, record, now);
@@ -419,6 +570,12 @@
 }
 
 bool GrantCoordinator::ShouldClaim(BootTime now) const {
+  // The leader of the former log, if it is still there, continues at once.
+  if (replaced_log_ && !NeedsLog() && !is_leader_ && !stopping_) {
+    return is_preferred_ &&
+           now >= std::max(preferred_since_, replaced_log_->seen_at) +
+                      kLeaderTimeout;
+  }
   if (!log_was_read_ || NeedsLog() || is_leader_ || stopping_)
     return false;
   // The leader was an earlier incarnation of this instance, so no other
@@ -440,16 +597,40 @@
   });
 }
 
+void GrantCoordinator::PollWithReplacedLog(bool may_append,
+                                           BootTime now,
+                                           GrantActions& actions) {
+  if (stopping_) {
+    ClearLeaderState();
+    return;
+  }
+  if (may_append) {
+    append_ = LogAppend{{EncodeGrantLogRecord(MakeClaim(now))}, ClaimOffset()};
+    actions.append = append_;
+  }
+  if (!IsActive(now))
+    return;
+  for (auto& [service, state] : services_) {
+    if (state.owns_keys)
+      PollRows(service, state, now, actions);
+  }
+}
+
 GrantActions GrantCoordinator::Poll(BootTime now) {
   GrantActions actions;
   const bool may_append = !append_ && now >= next_append_ && !needs_log_;
   if (!is_leader_) {
     if (may_append && ShouldClaim(now)) {
-      append_ = LogAppend{{EncodeGrantLogRecord(MakeClaim())}, next_offset_};
+      append_ =
+          LogAppend{{EncodeGrantLogRecord(MakeClaim(now))}, ClaimOffset()};
       actions.append = append_;
     }
     return actions;
   }
+  if (replaced_log_) {
+    PollWithReplacedLog(may_append, now, actions);
+    return actions;
+  }
   if (!IsActive(now))
     return actions;
   if (stopping_ || transferring_) {
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -52,6 +52,18 @@
 //   the table of a service assigns its keys only when every grant of earlier
 //   leaders has expired.
 //
+// - The log may be replaced by an earlier copy of itself, so that acknowledged
+//   records are lost (see base/log_position.h). Until the new log has a term,
+//   nothing about its state is known. A leader that was confirmed recently
+//   continues with the state in its memory and appends a new term. Another
+//   instance may have become leader on the lost part of the log. Until all
+//   earlier grants have expired, it can have moved only keys whose owners had
+//   seen its token in a grant or release. So the leader first renews each row
+//   with the token that it used before, which the owner rejects in this case;
+//   only then does it use tokens of the new term, or move the keys. Any other
+//   instance waits for the leader, and then until every grant of earlier
+//   leaders has expired, because it knows no table.
+//
 // The preferred leader of the membership group takes over when the leader is
 // lost. A leader that is no longer preferred stays leader and appends its term
 // at intervals to show that it is alive, because every change of leader pauses
@@ -84,7 +96,8 @@
                     BootTime sent_at,
                     BootTime now);
   // Applies the newest record of each key, read when the log ended at `end`. If
-  // some were appended later, none is applied and the log has to be read.
+  // some were appended later, none is applied and the log has to be read. An
+  // `end` in a later epoch than next_offset() shows that the log was replaced.
   void OnNewestRecords(std::vector<LogEntry> records,
                        std::uint64_t end,
                        BootTime now);
@@ -150,6 +163,8 @@
   // Whether the updates from next_offset() on would make the read needless.
   bool NeedsOnlyUpdates() const { return misses_update_ && !needs_log_; }
   std::uint64_t next_offset() const { return next_offset_; }
+  // The latest epoch of the log that is known.
+  std::uint64_t log_epoch() const;
   // The offset after the last record that changed a table or the leader.
   std::uint64_t last_change_offset() const { return last_change_offset_; }
   // Increases with each change of a table.
@@ -182,9 +197,12 @@
     // The grants of all of these must have ended before the owner gets the
     // keys.
     std::vector<SupersededOwner> superseded;
-    // Until this time, an owner that an earlier leader superseded, and that the
-    // log does not name, may have the keys.
+    // Until this time, an owner that an earlier leader superseded, or to which
+    // the lost part of a replaced log assigned the keys, may have the keys.
     BootTime unrecorded_owner_until{};
+    // Set after the log was replaced: the token of renewals until the owner has
+    // accepted one, which shows that no other leader has moved the keys.
+    std::optional<std::uint64_t> unconfirmed_token;
     // The former owner accepted a grant of this term, so it rejects those of
     // earlier leaders.
     bool former_confirmed = false;
@@ -206,9 +224,6 @@
   struct ServiceState {
     bool owns_keys = false;
     std::vector<RowState> rows;
-    // Until this time, any upstream may have grants of a table that could not
-    // be decoded.
-    BootTime unknown_grants_until{};
     KeyLoad load;
     BootTime next_plan{};
     BootTime first_upstream_at{};
@@ -221,6 +236,11 @@
     BootTime requested_at{};
     BootTime answered_at{};
   };
+  // A log that replaced the known one and that has no term yet.
+  struct ReplacedLog {
+    std::uint64_t end = 0;
+    BootTime seen_at{};
+  };
   struct PendingCall {
     KeyCall call;
     BootTime requested_at{};
@@ -241,6 +261,33 @@
   void ApplyTable(std::uint64_t offset, const TableRecord& record);
   // Returns whether no upstream but the owner of a moving row can still use its
   // keys.
+  // The records are those of a later epoch than next_offset().
+  void OnReplacedLog(const std::vector<LogEntry>& records,
+                     std::uint64_t end,
+                     BootTime now);
+  // Keeps the state of this leader while the new log has no term.
+  void KeepStateOfLostLog(BootTime now);
+  // Starts to follow the new log, which has a term.
+  void FollowReplacedLog(std::uint64_t offset);
+  // This leader continues in the new log, where its term begins at `offset`.
+  void ContinueLeadership(std::uint64_t offset,
+                          const GrantTermRecord& term,
+                          BootTime now);
+  // When every grant of leaders that may send calls until `calls_end` has
+  // expired.
+  BootTime AllGrantsEnd(BootTime calls_end) const;
+  // Whether the log may have had a table of the service that is not on it.
+  bool IsTableUnknown(const std::string& service) const;
+  // Whether this leader does not know the table of the service.
+  bool IsUnknownToLeader(const std::string& service) const {
+    return unknown_tables_.contains(service) ||
+           (absent_tables_unknown_ && !known_tables_.contains(service));
+  }
+  // Whether the owners of the rows have to confirm them before the table is
+  // written to a new log.
+  bool AwaitsConfirmation(const std::string& service,
+                          const ServiceState& state,
+                          BootTime now) const;
   static bool HaveOtherGrantsEnded(const RowState& row, BootTime now);
   static void CarryExpiries(const RowState& old, RowState& next);
   // Builds the row states for `table`, keeping the state of rows that overlap
@@ -255,14 +302,21 @@
   bool IsOwnTerm() const;
 
   bool ShouldClaim(BootTime now) const;
+  std::uint64_t ClaimOffset() const {
+    return replaced_log_ ? replaced_log_->end : next_offset_;
+  }
   // How long after a claim an earlier leader may still send grants.
-  std::chrono::milliseconds ChangeDelayAfterClaim() const;
-  GrantTermRecord MakeClaim() const;
+  std::chrono::milliseconds ChangeDelayAfterClaim(BootTime now) const;
+  GrantTermRecord MakeClaim(BootTime now) const;
   GrantTermRecord MakeResignation(BootTime now) const;
   // Returns the current term to append again, if that is due: to show that the
   // leader is alive, or to record that its wait is over.
   std::optional<GrantTermRecord> MakeTermRenewal(BootTime now);
   bool HasPendingGrant() const;
+  // The part of Poll() for a leader that has not started a term in the new log.
+  void PollWithReplacedLog(bool may_append,
+                           BootTime now,
+                           GrantActions& actions);
   void PollRows(const std::string& service,
                 ServiceState& state,
                 BootTime now,
@@ -338,6 +392,12 @@
   // The services whose newest table record cannot be decoded; `tables_` has an
   // earlier table, if any.
   std::set<std::string, std::less<>> unreadable_tables_;
+  // The services with a table record in the present epoch of the log. Used in
+  // later epochs than the first: there, a table without a record is unknown,
+  // and `tables_` has an earlier one, if any.
+  std::set<std::string, std::less<>> recorded_tables_;
+  // Set while the log has been replaced and the new one has no term.
+  std::optional<ReplacedLog> replaced_log_;
   std::vector<UnreadableRecord> unreadable_records_;
   // Filled while this instance is the leader or collects updates, and with the
   // term that follows its own.
@@ -365,6 +425,20 @@
   // The offset at which this term began; valid while this instance is the
   // leader.
   std::uint64_t term_token_ = 0;
+  // Until this time, any upstream may have grants of a table that this leader
+  // does not know.
+  BootTime unknown_grants_until_{};
+  // The tables that this leader knows. Without `absent_tables_unknown_`, these
+  // are all but `unknown_tables_`.
+  std::set<std::string, std::less<>> known_tables_;
+  std::set<std::string, std::less<>> unknown_tables_;
+  bool absent_tables_unknown_ = false;
+  // Calls that were sent from this time on were sent after the log was
+  // replaced.
+  BootTime log_replaced_at_{};
+  // Until this time, the owners of rows are given time to confirm them before
+  // the tables are written to a new log.
+  BootTime confirm_until_{};
   // The append whose outcome is not known yet.
   std::optional<LogAppend> append_;
   BootTime next_append_{};
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -87,10 +87,11 @@
   if (at == calls_.end())
     return;
   const KeyCall call = std::move(at->second.call);
+  const BootTime requested_at = at->second.requested_at;
   const FormerOwner callee{call.upstream, at->second.row_token};
   if (result != KeyCallResult::kUnknown &&
       result != KeyCallResult::kUnreachable)
-    RecordAnswer(call.upstream, at->second.requested_at, now);
+    RecordAnswer(call.upstream, requested_at, now);
   calls_.erase(at);
   const BootTime end = now + options_.times.WithDriftMargin(call.grant_ttl);
   const bool sent = result != KeyCallResult::kUnreachable;
@@ -135,10 +136,20 @@
     record(row.owner_expiry);
     row.grant_sent |= sent;
     if (result == KeyCallResult::kDone) {
-      row.grant_accepted = true;
-      row.owner_expiry.OnFenced();
       row.failures = 0;
       state.excluded_until.erase(call.upstream.name);
+      if (row.unconfirmed_token) {
+        // A renewal that was sent before the log was replaced proves nothing.
+        if (requested_at >= log_replaced_at_ &&
+            call.token == *row.unconfirmed_token) {
+          row.unconfirmed_token.reset();
+          row.unrecorded_owner_until = {};
+        }
+        row.next_grant = now;
+        continue;
+      }
+      row.grant_accepted = true;
+      row.owner_expiry.OnFenced();
       continue;
     }
     if (++row.failures >= kMaxFailures)
@@ -189,6 +200,8 @@
                                 GrantActions& actions) {
   for (RowState& row : state.rows) {
     UpdateDelivery(row);
+    if (now >= row.unrecorded_owner_until)
+      row.unconfirmed_token.reset();
     if (row.row.moving) {
       PollMovingRow(service, row, now, actions);
       continue;
@@ -206,7 +219,8 @@
                                      GrantActions& actions) {
   if (now < changes_allowed_from_ &&
       !(row.former_confirmed &&
-        RejectsEarlierLeaders(row.row.former->upstream, row.former_expiry)))
+        (!row.row.former ||
+         RejectsEarlierLeaders(row.row.former->upstream, row.former_expiry))))
     return;
   if (row.row.former && !row.released && !row.release_call &&
       now >= row.next_release && now < row.former_expiry.end() &&
@@ -286,7 +300,7 @@
   call.upstream = row.row.owner;
   call.address = upstream.address;
   call.keys = row.row.keys;
-  call.token = CallToken(row.row.token);
+  call.token = row.unconfirmed_token.value_or(CallToken(row.row.token));
   call.grant_ttl = options_.times.grant_ttl;
   call.handover = row.handover;
   call.valid_until = term_confirmed_at_ + options_.times.leader_lease_duration;
@@ -341,6 +355,15 @@
   return pinned;
 }
 
+bool GrantCoordinator::AwaitsConfirmation(const std::string& service,
+                                          const ServiceState& state,
+                                          BootTime now) const {
+  return now < confirm_until_ && IsTableUnknown(service) &&
+         std::ranges::any_of(state.rows, [](const RowState& row) {
+           return row.unconfirmed_token.has_value();
+         });
+}
+
 std::optional<KeyTable> GrantCoordinator::PlanTable(const std::string& service,
                                                     ServiceState& state,
                                                     std::uint64_t token,
@@ -348,6 +371,12 @@
   KeyTable& known = tables_[service];
   KeyTable table = known;
   bool changed = false;
+  if (IsUnknownToLeader(service) ? now < unknown_grants_until_
+                                 : AwaitsConfirmation(service, state, now))
+    return std::nullopt;
+  // The other instances cannot decode the present record, or it is on a log
+  // that was replaced.
+  const bool is_unrecorded = IsTableUnknown(service);
   // Completes the moves of rows whose owner has accepted a grant.
   for (const RowState& row : state.rows) {
     if (row.row.moving && row.grant_accepted) {
@@ -361,8 +390,7 @@
   if (now < state.next_plan && !changed)
     return std::nullopt;
   if (state.first_upstream_at == BootTime{} ||
-      now < state.first_upstream_at + kFirstPlanDelay ||
-      now < state.unknown_grants_until)
+      now < state.first_upstream_at + kFirstPlanDelay)
     return std::nullopt;
   state.next_plan = now + kPlanInterval;
   const std::vector<KeyOwnerCandidate> candidates =
@@ -393,9 +421,10 @@
     changed = true;
   }
   for (const RowState& row : state.rows) {
-    // The owner has accepted a higher token: assign the row again with a new
-    // one.
-    if (!row.fenced || row.row.moving)
+    // The owner has accepted a higher token, or has not confirmed that it still
+    // has the keys: assign the row again with a new token.
+    const bool is_unconfirmed = is_unrecorded && row.unconfirmed_token;
+    if ((!row.fenced && !is_unconfirmed) || row.row.moving)
       continue;
     KeyAssignment again = row.row;
     again.token = token;
@@ -404,9 +433,7 @@
     table.Assign(again);
     changed = true;
   }
-  // The other instances cannot decode the present record.
-  const bool is_unreadable = unreadable_tables_.contains(service);
-  if (!is_unreadable && (!changed || table == known))
+  if (!is_unrecorded && (!changed || table == known))
     return std::nullopt;
   return table;
 }
--- a/packages/grants/grant_log.h
+++ b/packages/grants/grant_log.h
@@ -18,6 +18,10 @@
 // indefinitely, and a membership group that prefers one live instance as
 // leader. Each handler is called once, asynchronously, on the event loop of the
 // caller.
+//
+// The log may be replaced by an earlier copy of itself, which begins a new
+// epoch. Offsets are positions (see base/log_position.h). Records of earlier
+// epochs are not returned: they may be older than records that were lost.
 class GrantLog {
  public:
   struct Entry {
@@ -28,8 +32,8 @@
     std::vector<Entry> entries;
     // The offset at which the log ends.
     std::uint64_t end = 0;
-    // The records from the requested offset on are no longer retained; the
-    // caller uses ReadNewest() instead.
+    // The records from the requested offset on are no longer retained, or that
+    // offset is of another epoch; the caller uses ReadNewest() instead.
     bool truncated = false;
   };
   struct Membership {
@@ -45,6 +49,7 @@
   virtual void ReadNewest(BatchHandler handler) = 0;
   // Reads the records from offset `from` on.
   virtual void Read(std::uint64_t from, BatchHandler handler) = 0;
+  // Ends with kConflict if the offset of `append` is of an earlier epoch.
   virtual void Append(const LogAppend& append,
                       std::function<void(LogAppendResult)> handler) = 0;
   // Joins the group or renews the membership, and returns whether this instance
