Simulate a log that is restored from an earlier copy around the grants

The property test of GrantCoordinator with relays assumed a log that loses nothing. The store may be away for a moment and return with a copy that is some seconds old: what it had acknowledged since is gone, and its offsets are given out again, while upstreams hold grants because of the lost records.

Only records of the present epoch are returned; the others count for offsets. Appends of a former epoch may be executed late where the offset happens to be the same. Responses, table updates and notices of the last change arrive late from a former epoch. An instance must have the state that the log of the epoch of its position has there. Until that log has a table, an instance may keep a former one, unless it became the leader in the new epoch.

--- a/packages/grants/grant_relay_property_test.cc
+++ b/packages/grants/grant_relay_property_test.cc
@@ -27,5 +27,23 @@
   CHECK(served / kRuns > 0.25);
 }
 
+// Guards against two owners of one key, keys that stay without an owner, and an
+// instance with the state of an earlier epoch, when the log is replaced by an
+// earlier copy: acknowledged records are lost, while upstreams hold grants
+// because of them.
+TEST_CASE(
+    "GrantCoordinator with relays keeps one owner a key when the log is "
+    "restored") {
+  double served = 0;
+  for (std::uint32_t seed = 1; seed <= kRuns; ++seed) {
+    RelaySimulation simulation(seed, {.restores_log = true});
+    INFO("seed " << seed);
+    REQUIRE(simulation.Run() == "");
+    served += simulation.served_share();
+  }
+  INFO("served " << served / kRuns);
+  CHECK(served / kRuns > 0.25);
+}
+
 }  // namespace
 }  // namespace pollenrudder
--- a/packages/grants/relay_simulation.cc
+++ b/packages/grants/relay_simulation.cc
@@ -1,11 +1,14 @@
 // RelaySimulation: faults, the processes, and how instances learn the state of
-// the log. relay_simulation_calls.cc has appends, key calls and the checks.
+// the log. relay_simulation_calls.cc has appends, key calls and the checks,
+// relay_simulation_restore.cc the replacements of the log.
 
 #include "grants/relay_simulation.h"
 
 #include <algorithm>
 #include <iterator>
 
+#include "base/log_position.h"
+
 namespace pollenrudder {
 namespace {
 
@@ -21,7 +24,11 @@
 
 }  // namespace
 
-RelaySimulation::RelaySimulation(std::uint32_t seed) : random_(seed) {
+RelaySimulation::RelaySimulation(std::uint32_t seed)
+    : RelaySimulation(seed, Options()) {}
+
+RelaySimulation::RelaySimulation(std::uint32_t seed, Options options)
+    : random_(seed), options_(options) {
   configuration_.services["geodata"].owns_keys = true;
   for (int address = 0; address < kAddresses; ++address) {
     processes_[address].clock_slowdown = 1 + 0.02 * Draw();
@@ -30,6 +37,13 @@
   lists_.emplace_back(now_, ListProcesses());
   for (int index = 0; index < kInstances; ++index)
     Start(index);
+  if (options_.restores_log) {
+    // With few other faults, most leaders are still leaders when the log is
+    // back.
+    if (Chance(0.5))
+      fault_rate_ = 0.2;
+    Schedule(2s + Delay(22000), [this] { PlanRestoration(); });
+  }
 }
 
 std::string RelaySimulation::Run() {
@@ -37,17 +51,24 @@
        time += kTimeStep) {
     now_ = At(time);
     InjectFaults();
-    RunEvents();
-    for (int index = 0; index < kInstances; ++index)
-      Step(index);
-    Work();
-    CheckOwners();
-    CheckTables();
+    RunStep();
     ++steps_;
   }
+  if (options_.restores_log && violation_.empty())
+    Recover();
   return violation_;
 }
 
+void RelaySimulation::RunStep() {
+  PublishList();
+  RunEvents();
+  for (int index = 0; index < kInstances; ++index)
+    Step(index);
+  Work();
+  CheckOwners();
+  CheckTables();
+}
+
 double RelaySimulation::served_share() const {
   return static_cast<double>(served_) /
          (static_cast<double>(steps_) *
@@ -136,51 +157,56 @@
 
 void RelaySimulation::InjectFaults() {
   Instance& instance = instances_[Pick(kInstances)];
-  if (Chance(0.004))
+  if (FaultOccurs(0.004))
     instance.disconnected_until = now_ + Delay(10000);
-  if (Chance(0.003))
+  if (FaultOccurs(0.003))
     instance.suspended_until = now_ + Delay(8000);
-  if (Chance(0.006))
+  if (FaultOccurs(0.006))
     instance.isolated_until = now_ + Delay(6000);
-  if (Chance(0.02))
+  if (FaultOccurs(0.02))
     instance.list_lag = Chance(0.5) ? 0ms : Delay(3000);
-  if (Chance(0.003))
+  if (FaultOccurs(0.003))
     Stop(Pick(kInstances), Chance(0.5));
-  if (Chance(0.0005)) {
+  if (FaultOccurs(0.0005)) {
     for (int index = 0; index < kInstances; ++index)
       Stop(index, /*planned=*/false);
   }
-  if (Chance(0.002)) {
+  if (FaultOccurs(0.002)) {
     Link& link = links_[Chance(0.5) ? "a" : "b"];
     link.full_until = now_ + Delay(8000);
     link.queue = Delay(4000);
   }
-  if (Chance(0.004))
+  if (FaultOccurs(0.004))
     preferred_ = Pick(kInstances);
-  if (Chance(0.006)) {
+  if (FaultOccurs(0.006)) {
     const std::string successor = InstanceName(Pick(kInstances));
     for (int index = 0; index < kInstances; ++index) {
       if (IsRunning(index))
         instances_[index].coordinator->TransferLeadership(successor, now_);
     }
   }
-  if (Chance(0.003))
+  if (FaultOccurs(0.003))
     first_retained_ =
         log_.size() -
         std::min<std::size_t>(log_.size(), static_cast<std::size_t>(Pick(4)));
-  if (Chance(0.01))
+  if (FaultOccurs(0.01))
     hot_ = static_cast<KeyNumber>(20000 + Pick(3) * 13000);
-  if (Chance(0.006))
+  if (FaultOccurs(0.006))
     EndProcess(Pick(kAddresses));
-  if (Chance(0.004)) {
+  if (FaultOccurs(0.004)) {
     const std::string name = processes_[Pick(kAddresses)].name;
     if (unlisted_.erase(name) == 0)
       unlisted_.insert(name);
   }
-  if (now_ >= next_list_) {
-    next_list_ = now_ + 200ms;
-    lists_.emplace_back(now_, ListProcesses());
-  }
+  if (options_.restores_log && FaultOccurs(0.0008))
+    PlanRestoration();
+}
+
+void RelaySimulation::PublishList() {
+  if (now_ < next_list_)
+    return;
+  next_list_ = now_ + 200ms;
+  lists_.emplace_back(now_, ListProcesses());
 }
 
 bool RelaySimulation::IsRunning(int index) const {
@@ -241,7 +267,10 @@
   if (Chance(0.1))
     coordinator.OnFleet(ListOf(index), configuration_, now_);
   Report(index);
-  if (now_ >= instance.disconnected_until && !instance.reading &&
+  if (options_.restores_log && Chance(0.02))
+    SendLastChange(index);
+  if (now_ >= instance.disconnected_until && !IsStoreDown() &&
+      !instance.reading &&
       (now_ >= instance.next_read || coordinator.NeedsLog()))
     ReadOrRequest(index);
   const GrantActions actions = coordinator.Poll(now_);
@@ -288,20 +317,25 @@
   const bool in_order =
       is_active || (coordinator.NeedsLog() && !coordinator.NeedsOnlyUpdates());
   const std::uint64_t from = coordinator.next_offset();
-  if (!in_order || from < first_retained_) {
+  if (!in_order || LogEpochOf(from) != epoch_ ||
+      LogOffsetOf(from) < first_retained_) {
     ReadNewest(index);
     return;
   }
   // A response contains only some of the records if there are many.
   const std::uint64_t end = std::min<std::uint64_t>(
       log_.size(),
-      from + (Chance(0.5) ? static_cast<std::uint64_t>(1 + Pick(4)) : 1000));
+      LogOffsetOf(from) +
+          (Chance(0.5) ? static_cast<std::uint64_t>(1 + Pick(4)) : 1000));
   std::vector<GrantCoordinator::LogEntry> records;
-  for (std::uint64_t offset = from; offset < end; ++offset)
-    records.push_back({offset, log_[offset]});
+  for (std::uint64_t offset = LogOffsetOf(from); offset < end; ++offset) {
+    if (log_[offset].epoch == epoch_)
+      records.push_back({MakeLogPosition(epoch_, offset), log_[offset].record});
+  }
   const BootTime sent_at = now_;
+  const std::uint64_t position = MakeLogPosition(epoch_, end);
   ReadEnds(index, [=, this](GrantCoordinator& target) {
-    target.OnLogRecords(records, end, sent_at, now_);
+    target.OnLogRecords(records, position, sent_at, now_);
   });
 }
 
@@ -310,7 +344,7 @@
     const std::function<void(GrantCoordinator&)>& deliver) {
   const int incarnation = instances_[index].incarnation;
   instances_[index].reading = true;
-  const bool is_lost = Chance(0.05);
+  const bool is_lost = FaultOccurs(0.05);
   Schedule(Chance(0.1) ? Delay(700) : Delay(60), [=, this] {
     Deliver(index, incarnation, [=, this](GrantCoordinator& target) {
       instances_[index].reading = false;
@@ -321,14 +355,20 @@
 }
 
 void RelaySimulation::ReadNewest(int index) {
+  if (IsStoreDown())
+    return;
   const int incarnation = instances_[index].incarnation;
   instances_[index].reading = true;
-  const std::uint64_t end = log_.size();
+  const std::uint64_t end = MakeLogPosition(epoch_, log_.size());
   std::vector<GrantCoordinator::LogEntry> records;
   AddNewest("keys/geodata", records);
   Schedule(Chance(0.3) ? Delay(100) : 0ms, [=, this]() mutable {
     if (instances_[index].incarnation != incarnation)
       return;
+    if (IsStoreDown() || LogEpochOf(end) != epoch_) {
+      instances_[index].reading = false;
+      return;
+    }
     AddNewest("term", records);
     ReadEnds(index, [=, this](GrantCoordinator& target) {
       target.OnNewestRecords(records, end, now_);
@@ -340,9 +380,10 @@
     const std::string& key,
     std::vector<GrantCoordinator::LogEntry>& records) const {
   for (std::size_t offset = log_.size(); offset > 0; --offset) {
-    if (log_[offset - 1].key != key)
+    const StoredRecord& stored = log_[offset - 1];
+    if (stored.epoch != epoch_ || stored.record.key != key)
       continue;
-    records.push_back({offset - 1, log_[offset - 1]});
+    records.push_back({MakeLogPosition(epoch_, offset - 1), stored.record});
     return;
   }
 }
--- a/packages/grants/relay_simulation.h
+++ b/packages/grants/relay_simulation.h
@@ -1,7 +1,8 @@
 // Simulates instances, upstreams, the network and the store around
 // GrantCoordinator in a deployment with relays: instances that learn changes
 // from datagrams, lists that lag, upstreams that restart at their address or
-// under their name, and reads that are no snapshot of the log.
+// under their name, reads that are no snapshot of the log, and a log that is
+// replaced by an earlier copy.
 
 #ifndef POLLENRUDDER_GRANTS_RELAY_SIMULATION_H_
 #define POLLENRUDDER_GRANTS_RELAY_SIMULATION_H_
@@ -31,11 +32,19 @@
 // the state that the log has at its offset.
 class RelaySimulation {
  public:
+  struct Options {
+    // Also replaces the log by earlier copies of itself, and checks that all
+    // keys are served again after the faults have ended.
+    bool restores_log = false;
+  };
+
   explicit RelaySimulation(std::uint32_t seed);
+  RelaySimulation(std::uint32_t seed, Options options);
 
   // Returns what was violated first, or an empty string.
   std::string Run();
 
+  // The share of the sampled keys that had an owner while there were faults.
   double served_share() const;
 
  private:
@@ -46,11 +55,24 @@
   static constexpr std::array<KeyNumber, 10> kSampledKeys{
       0, 12000, 20000, 20004, 20008, 20012, 33000, 46000, 50000, 65535};
 
-  // The state after the records before an offset.
+  // The state after the records of one epoch before an offset.
   struct State {
     KeyTable table;
+    bool has_table = false;
     std::optional<GrantTermRecord> term;
   };
+  struct StoredRecord {
+    GrantLogRecord record;
+    // The epoch for which it was appended. Only the records of the present
+    // epoch are returned to readers; all count for the offsets.
+    std::uint64_t epoch = 0;
+    BootTime appended_at{};
+  };
+  // A log that was replaced by an earlier copy.
+  struct FormerLog {
+    BootTime replaced_at{};
+    std::vector<StoredRecord> records;
+  };
   struct Link {
     BootTime last_arrival{};
     BootTime full_until{};
@@ -86,12 +108,18 @@
     std::deque<TableUpdate> sent_updates;
     // Upstreams that have ended, and until when they are reported.
     std::vector<std::pair<UpstreamIncarnation, BootTime>> replaced;
+    // As of the last check.
+    std::uint64_t epoch = 0;
+    bool was_leader = false;
+    // Has been the leader since an earlier epoch of the log.
+    bool continues_leadership = false;
   };
 
   double Draw() {
     return std::uniform_real_distribution<double>(0, 1)(random_);
   }
   bool Chance(double share) { return Draw() < share; }
+  bool FaultOccurs(double share) { return Chance(share * fault_rate_); }
   std::chrono::milliseconds Delay(int most) {
     return std::chrono::milliseconds(static_cast<int>(Draw() * most));
   }
@@ -115,6 +143,8 @@
     events_.push_back({now_ + delay, std::move(run)});
   }
 
+  void RunStep();
+
   void RunEvents();
 
   // Calls the coordinator if it is still of this incarnation; postpones the
@@ -134,6 +164,28 @@
 
   void InjectFaults();
 
+  void PublishList();
+
+  // Restores the log, sometimes some seconds after the leader lost the store or
+  // was suspended, so that a later term is lost and its leader competes with
+  // the former one.
+  void PlanRestoration();
+
+  // Takes the store down and brings it back with an earlier copy of the log.
+  void RestoreLog();
+
+  void ReplaceLog(BootTime copied_at);
+
+  // Returns the log as it was at `time`.
+  std::vector<StoredRecord> LogAt(BootTime time) const;
+
+  bool IsStoreDown() const { return now_ < store_down_until_; }
+
+  // Ends the faults and checks that all keys are served again.
+  void Recover();
+
+  void EndFaults();
+
   bool IsRunning(int index) const;
 
   // Stops an instance, which starts again under its name.
@@ -161,13 +213,27 @@
   // Datagrams are lost, repeated and late.
   void SendUpdate(int from, int to, const TableUpdate& update);
 
+  // Tells the other instances where the last change of the log is.
+  void SendLastChange(int index);
+
   // Reports the load on a few keys, and upstreams that answered for others.
   void Report(int index);
 
   void Append(int index, const LogAppend& append);
 
+  void EndAppend(int index,
+                 int incarnation,
+                 LogAppendResult result,
+                 BootTime sent_at);
+
+  // Returns the result of an append that is not sent: its epoch is known to
+  // have ended, or the store is down.
+  std::optional<LogAppendResult> ResultBeforeSending(const LogAppend& append);
+
+  LogAppendResult ExecuteAppend(const LogAppend& append);
+
   // Notes the state of the log after each record.
-  void AddRecord(const GrantLogRecord& record);
+  void AddRecord(const GrantLogRecord& record, std::uint64_t epoch);
 
   void SendNextGrant(int index, const std::string& upstream);
 
@@ -200,10 +266,26 @@
 
   void CheckOwners();
 
-  // Checks that each instance has the state of the log at its offset.
+  // Checks that each instance has the state of the log at its position.
   void CheckTables();
 
+  void CheckTable(int index, const State& state);
+
+  // Notes the epoch of an instance and whether it is the leader.
+  void UpdateLeadership(Instance& instance);
+
+  // Returns a sampled key whose assignment differs from that in `table`.
+  static std::optional<KeyNumber> FindDifference(
+      const GrantCoordinator& coordinator,
+      const KeyTable& table);
+
+  // Whether the log of an earlier epoch had the table of `coordinator`.
+  bool HasFormerTable(const GrantCoordinator& coordinator,
+                      std::uint64_t epoch) const;
+
   std::mt19937 random_;
+  const Options options_;
+  double fault_rate_ = 1;
   BootTime now_{std::chrono::seconds(100)};
   RouterConfiguration configuration_;
   std::array<SimulatedUpstream, kAddresses> processes_;
@@ -216,12 +298,18 @@
   int next_name_ = 0;
   int next_start_ = 1;
   KeyNumber hot_ = 20000;
-  std::vector<GrantLogRecord> log_;
-  std::vector<State> states_{State()};
+  std::vector<StoredRecord> log_;
+  std::uint64_t epoch_ = 0;
+  std::vector<FormerLog> former_logs_;
+  // By epoch, then by offset.
+  std::vector<std::vector<State>> states_{std::vector<State>(1)};
   std::uint64_t first_retained_ = 0;
+  BootTime store_down_until_{};
+  bool recovers_ = false;
   std::vector<Event> events_;
   std::map<std::string, Link> links_;
   std::array<LastGrant, kSampledKeys.size()> last_grants_{};
+  std::array<BootTime, kSampledKeys.size()> last_served_{};
   std::string violation_;
   std::int64_t served_ = 0;
   std::int64_t steps_ = 0;
--- a/packages/grants/relay_simulation_calls.cc
+++ b/packages/grants/relay_simulation_calls.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <variant>
 
+#include "base/log_position.h"
 #include "grants/relay_simulation.h"
 
 namespace pollenrudder {
@@ -57,44 +58,85 @@
 void RelaySimulation::Append(int index, const LogAppend& append) {
   const int incarnation = instances_[index].incarnation;
   const BootTime sent_at = now_;
+  if (const auto result = ResultBeforeSending(append)) {
+    Schedule(Delay(50),
+             [=, this] { EndAppend(index, incarnation, *result, sent_at); });
+    return;
+  }
   const bool is_unanswered =
-      Chance(0.15) || now_ < instances_[index].disconnected_until;
+      FaultOccurs(0.15) || now_ < instances_[index].disconnected_until;
   const auto run = [=, this] {
-    LogAppendResult result = LogAppendResult::kConflict;
-    if (append.at == log_.size()) {
-      for (const GrantLogRecord& record : append.records)
-        AddRecord(record);
-      result = LogAppendResult::kDone;
-    }
+    const LogAppendResult result = ExecuteAppend(append);
     if (is_unanswered)
       return;
-    Schedule(Delay(50), [=, this] {
-      Deliver(index, incarnation, [=, this](GrantCoordinator& coordinator) {
-        coordinator.OnAppendEnded(result, sent_at, now_);
-      });
-    });
+    Schedule(Delay(50),
+             [=, this] { EndAppend(index, incarnation, result, sent_at); });
   };
   // An append without a response may take effect seconds later.
   if (!is_unanswered || Chance(0.5))
     Schedule(is_unanswered ? Delay(6000) : Delay(50), run);
   if (is_unanswered) {
     Schedule(700ms, [=, this] {
-      Deliver(index, incarnation, [=, this](GrantCoordinator& coordinator) {
-        coordinator.OnAppendEnded(LogAppendResult::kUnknown, sent_at, now_);
-      });
+      EndAppend(index, incarnation, LogAppendResult::kUnknown, sent_at);
     });
   }
 }
 
-void RelaySimulation::AddRecord(const GrantLogRecord& record) {
-  log_.push_back(record);
-  State state = states_.back();
-  const auto parsed = ParseGrantLogRecord(record);
-  if (const auto* table = std::get_if<TableRecord>(&parsed.value()))
-    state.table = table->table;
-  else
-    state.term = std::get<GrantTermRecord>(parsed.value());
-  states_.push_back(std::move(state));
+void RelaySimulation::EndAppend(int index,
+                                int incarnation,
+                                LogAppendResult result,
+                                BootTime sent_at) {
+  Deliver(index, incarnation, [=, this](GrantCoordinator& coordinator) {
+    coordinator.OnAppendEnded(result, sent_at, now_);
+  });
+}
+
+std::optional<LogAppendResult> RelaySimulation::ResultBeforeSending(
+    const LogAppend& append) {
+  if (LogEpochOf(append.at) != epoch_ && Chance(0.7))
+    return LogAppendResult::kConflict;
+  if (IsStoreDown() && Chance(0.5))
+    return LogAppendResult::kRejected;
+  return std::nullopt;
+}
+
+LogAppendResult RelaySimulation::ExecuteAppend(const LogAppend& append) {
+  if (IsStoreDown()) {
+    if (Chance(0.3)) {
+      Schedule(store_down_until_ - now_ + Delay(2000),
+               [=, this] { (void)ExecuteAppend(append); });
+    }
+    return LogAppendResult::kUnknown;
+  }
+  // The condition compares only the offset, so an append of a former epoch may
+  // be executed in the log that replaced the one it was meant for.
+  const std::uint64_t epoch = LogEpochOf(append.at);
+  const bool is_at_end = LogOffsetOf(append.at) == log_.size();
+  if (is_at_end) {
+    for (const GrantLogRecord& record : append.records)
+      AddRecord(record, epoch);
+  }
+  if (epoch != epoch_ && Chance(0.5))
+    return LogAppendResult::kUnknown;
+  return is_at_end && epoch == epoch_ ? LogAppendResult::kDone
+                                      : LogAppendResult::kConflict;
+}
+
+void RelaySimulation::AddRecord(const GrantLogRecord& record,
+                                std::uint64_t epoch) {
+  log_.push_back({record, epoch, now_});
+  std::vector<State>& states = states_[epoch_];
+  State state = states.back();
+  if (epoch == epoch_) {
+    const auto parsed = ParseGrantLogRecord(record);
+    if (const auto* table = std::get_if<TableRecord>(&parsed.value())) {
+      state.table = table->table;
+      state.has_table = true;
+    } else {
+      state.term = std::get<GrantTermRecord>(parsed.value());
+    }
+  }
+  states.push_back(std::move(state));
 }
 
 void RelaySimulation::SendNextGrant(int index, const std::string& upstream) {
@@ -155,12 +197,12 @@
     return;
   // A packet that is lost and sent again arrives after later ones, unless the
   // caller has reset the connection by then.
-  const bool is_resent = Chance(0.03);
+  const bool is_resent = FaultOccurs(0.03);
   BootTime arrives_at = ArrivalTime(ZoneOf(address));
   if (is_resent)
     arrives_at += 200ms + Delay(1500);
   const milliseconds started_at = called.started_at;
-  const bool loses_response = Chance(0.1);
+  const bool loses_response = FaultOccurs(0.1);
   events_.push_back({arrives_at, [=, this] {
                        if (is_resent && *ended)
                          return;
@@ -254,33 +296,33 @@
 }
 
 void RelaySimulation::CheckOwners() {
-  for (const KeyNumber key : kSampledKeys) {
+  for (std::size_t index = 0; index < kSampledKeys.size(); ++index) {
+    const KeyNumber key = kSampledKeys[index];
     const auto owners = std::ranges::count_if(
         processes_, [&](const SimulatedUpstream& process) {
           return now_ < process.HeldUntil(key);
         });
     if (owners > 1)
       Fail("two owners", key);
-    served_ += owners > 0 ? 1 : 0;
+    if (owners == 0)
+      continue;
+    last_served_[index] = now_;
+    served_ += recovers_ ? 0 : 1;
   }
 }
 
 void RelaySimulation::CheckTables() {
   for (int index = 0; index < kInstances; ++index) {
+    UpdateLeadership(instances_[index]);
     const GrantCoordinator& coordinator = *instances_[index].coordinator;
-    const State& state = states_[coordinator.next_offset()];
-    const auto table = coordinator.tables().find("geodata");
-    for (const KeyNumber key : kSampledKeys) {
-      const KeyAssignment* known = table == coordinator.tables().end()
-                                       ? nullptr
-                                       : table->second.Find(key);
-      const KeyAssignment* row = state.table.Find(key);
-      if ((known == nullptr) != (row == nullptr) ||
-          (row != nullptr &&
-           (known->owner != row->owner || known->token != row->token ||
-            known->moving != row->moving || known->former != row->former)))
-        Fail("table of " + InstanceName(index), key);
+    const std::uint64_t epoch = instances_[index].epoch;
+    const std::uint64_t offset = LogOffsetOf(coordinator.next_offset());
+    if (epoch >= states_.size() || offset >= states_[epoch].size()) {
+      Fail("position of " + InstanceName(index), 0);
+      continue;
     }
+    const State& state = states_[epoch][offset];
+    CheckTable(index, state);
     const auto& term = coordinator.term();
     if (term.has_value() != state.term.has_value() ||
         (term && (term->incarnation != state.term->incarnation ||
@@ -289,4 +331,59 @@
   }
 }
 
+void RelaySimulation::UpdateLeadership(Instance& instance) {
+  const GrantCoordinator& coordinator = *instance.coordinator;
+  const std::uint64_t epoch = LogEpochOf(coordinator.next_offset());
+  if (!coordinator.IsLeader() || !instance.was_leader)
+    instance.continues_leadership = false;
+  else if (epoch > instance.epoch)
+    instance.continues_leadership = true;
+  instance.epoch = epoch;
+  instance.was_leader = coordinator.IsLeader();
+}
+
+void RelaySimulation::CheckTable(int index, const State& state) {
+  const Instance& instance = instances_[index];
+  const auto key = FindDifference(*instance.coordinator, state.table);
+  if (!key)
+    return;
+  // Until the log of a new epoch has a table, instances may route by a former
+  // one. A new leader must not grant keys by it.
+  const bool may_keep_former =
+      instance.epoch > 0 && !state.has_table &&
+      (!instance.was_leader || instance.continues_leadership);
+  if (!may_keep_former ||
+      !HasFormerTable(*instance.coordinator, instance.epoch))
+    Fail("table of " + InstanceName(index), *key);
+}
+
+std::optional<KeyNumber> RelaySimulation::FindDifference(
+    const GrantCoordinator& coordinator,
+    const KeyTable& table) {
+  const auto known_table = coordinator.tables().find("geodata");
+  for (const KeyNumber key : kSampledKeys) {
+    const KeyAssignment* known = known_table == coordinator.tables().end()
+                                     ? nullptr
+                                     : known_table->second.Find(key);
+    const KeyAssignment* row = table.Find(key);
+    if ((known == nullptr) != (row == nullptr) ||
+        (row != nullptr &&
+         (known->owner != row->owner || known->token != row->token ||
+          known->moving != row->moving || known->former != row->former)))
+      return key;
+  }
+  return std::nullopt;
+}
+
+bool RelaySimulation::HasFormerTable(const GrantCoordinator& coordinator,
+                                     std::uint64_t epoch) const {
+  return std::any_of(
+      states_.begin(), states_.begin() + static_cast<std::ptrdiff_t>(epoch),
+      [&](const std::vector<State>& states) {
+        return std::ranges::any_of(states, [&](const State& state) {
+          return !FindDifference(coordinator, state.table);
+        });
+      });
+}
+
 }  // namespace pollenrudder
