Give up the lost leader's state before a second one can move keys unseen

What callers would see: two upstreams with the same keys after a restoration.

Cause: a leader that continues in a replaced log relies on its owners' confirmation: a second leader, on the lost part of the log, moves keys only of owners that have seen its token. That holds until all grants have expired for the second leader.

Change: the leader gives up 9.9 s after its last confirmation. The calls of a second leader end within a lease after that, before the first of its moves without a call to the owner can begin.

Moves the handling of a replaced log to a file of its own.

--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -1,5 +1,6 @@
 // GrantCoordinator: the log and the term. grant_coordinator_rows.cc has the
-// rows of the tables; the header states the safety rules.
+// rows of the tables, grant_coordinator_replaced_log.cc what follows when the
+// log was replaced; the header states the safety rules.
 
 #include "grants/grant_coordinator.h"
 
@@ -25,8 +26,6 @@
 // How long a replaced upstream gets no keys; the instance list may still name
 // it for a while.
 constexpr milliseconds kReplacedExclusion{4000};
-// Owners that have not confirmed their rows by then are likely lost.
-constexpr milliseconds kConfirmationTime{1000};
 // Minimum time between changes of the tables. A record holds all rows, so large
 // tables change less often.
 constexpr milliseconds kMinChangeInterval{20};
@@ -111,94 +110,6 @@
   return LogEpochOf(ClaimOffset());
 }
 
-void GrantCoordinator::OnReplacedLog(const std::vector<LogEntry>& records,
-                                     std::uint64_t end,
-                                     BootTime now) {
-  if (LogEpochOf(end) > log_epoch()) {
-    replaced_log_ = ReplacedLog{end, now};
-    KeepStateOfLostLog(now);
-  }
-  replaced_log_->end = std::max(replaced_log_->end, end);
-  const auto term = std::ranges::find_if(records, [](const LogEntry& entry) {
-    return IsTermKey(entry.record.key);
-  });
-  if (term == records.end())
-    return;
-  FollowReplacedLog(end);
-  for (const LogEntry& entry : records)
-    ApplyRecord(entry.offset, entry.record, now);
-  next_offset_ = std::max(next_offset_, end);
-  log_was_read_ = true;
-}
-
-void GrantCoordinator::KeepStateOfLostLog(BootTime now) {
-  if (!is_leader_)
-    return;
-  const GrantDurations& times = options_.times;
-  // Until then, a leader on the lost part of the log can have moved keys only
-  // of owners that have seen its token: others keep their grants. A resignation
-  // of this leader may have been on that part, too.
-  const BootTime known_until =
-      AllGrantsEnd(term_confirmed_at_ + times.leader_lease_duration);
-  if (now >= known_until || stopping_ || transferring_) {
-    ClearLeaderState();
-    return;
-  }
-  log_replaced_at_ = now;
-  const BootTime calls_end =
-      now + times.WithDriftMargin(times.leader_lease_duration);
-  changes_allowed_from_ = std::max(changes_allowed_from_, calls_end);
-  unknown_grants_until_ =
-      std::max(unknown_grants_until_, AllGrantsEnd(calls_end));
-  for (auto& [service, state] : services_) {
-    // After the lease, another leader could also have granted keys without an
-    // owner.
-    if (!IsActive(now) && !tables_[service].Gaps().empty()) {
-      unknown_tables_.insert(service);
-      tables_[service] = KeyTable();
-      ++tables_version_;
-      state.rows.clear();
-    }
-    for (RowState& row : state.rows) {
-      row.grant_accepted = false;
-      // Within the lease, no other leader could change rows that move.
-      if (row.row.moving && IsActive(now)) {
-        row.former_confirmed = true;
-        continue;
-      }
-      row.unrecorded_owner_until =
-          std::max(row.unrecorded_owner_until, unknown_grants_until_);
-      if (row.row.moving)
-        continue;
-      if (!row.unconfirmed_token)
-        row.unconfirmed_token = CallToken(row.row.token);
-      row.next_grant = now;
-    }
-  }
-}
-
-void GrantCoordinator::FollowReplacedLog(std::uint64_t offset) {
-  next_offset_ = offset;
-  last_change_offset_ = offset;
-  replaced_log_.reset();
-  recorded_tables_.clear();
-  unreadable_tables_.clear();
-  // A leader compares the new term with its former one.
-  if (!is_leader_)
-    term_.reset();
-}
-
-void GrantCoordinator::ContinueLeadership(std::uint64_t offset,
-                                          const GrantTermRecord& term,
-                                          BootTime now) {
-  term_ = term;
-  term_offset_ = offset;
-  term_token_ = offset;
-  leader_seen_at_ = now;
-  last_change_offset_ = offset + 1;
-  confirm_until_ = now + kConfirmationTime;
-}
-
 BootTime GrantCoordinator::AllGrantsEnd(BootTime calls_end) const {
   const GrantDurations& times = options_.times;
   return calls_end + times.call_timeout + times.max_delivery_time +
@@ -597,25 +508,6 @@
   });
 }
 
-void GrantCoordinator::PollWithReplacedLog(bool may_append,
-                                           BootTime now,
-                                           GrantActions& actions) {
-  if (stopping_) {
-    ClearLeaderState();
-    return;
-  }
-  if (may_append) {
-    append_ = LogAppend{{EncodeGrantLogRecord(MakeClaim(now))}, ClaimOffset()};
-    actions.append = append_;
-  }
-  if (!IsActive(now))
-    return;
-  for (auto& [service, state] : services_) {
-    if (state.owns_keys)
-      PollRows(service, state, now, actions);
-  }
-}
-
 GrantActions GrantCoordinator::Poll(BootTime now) {
   GrantActions actions;
   const bool may_append = !append_ && now >= next_append_ && !needs_log_;
--- a/packages/grants/replaced_log_test.cc
+++ b/packages/grants/replaced_log_test.cc
@@ -197,13 +197,14 @@
   CHECK(calls.grants.empty());
 }
 
-// Guards against two owners: once every grant has expired, another leader may
-// have moved keys on the lost part of the log without a call to their owners.
+// Guards against two owners: another leader on the lost part of the log that
+// does not know of the new one may still move keys without a call to their
+// owners, whose grants have expired for it.
 TEST_CASE("GrantCoordinator does not continue after its grants have expired") {
   GrantCoordinator coordinator = MakeLeader();
-  coordinator.OnNewestRecords({}, kNewEnd, At(kReplaced + 14400ms));
+  coordinator.OnNewestRecords({}, kNewEnd, At(kReplaced + 9900ms));
   CHECK_FALSE(coordinator.IsLeader());
-  CHECK_FALSE(coordinator.Poll(At(kReplaced + 14420ms)).append);
+  CHECK_FALSE(coordinator.Poll(At(kReplaced + 9920ms)).append);
 }
 
 // Guards against keys that stay without an owner for all grants to expire,
