Simulate the loss of a takeover that moved keys

A further property test cuts the leader off from the store (at once, with an append or a resignation whose answer is lost, or before the first table), lets a second leader take over, changes the load and the upstreams so that it moves keys, often while one upstream does not answer it, and then restores the log from before the takeover. The former leader gets the store back between 0 and 19 s after it was cut off, and the second one often does not learn of the restoration.

--- a/packages/grants/grant_relay_property_test.cc
+++ b/packages/grants/grant_relay_property_test.cc
@@ -45,5 +45,22 @@
   CHECK(served / kRuns > 0.25);
 }
 
+// Guards against two owners of one key after the log lost the term of a second
+// leader, which had moved keys of upstreams that did not answer it: the former
+// leader must not continue with grants that it no longer knows.
+TEST_CASE(
+    "GrantCoordinator with relays keeps one owner a key when a takeover is "
+    "lost") {
+  double served = 0;
+  for (std::uint32_t seed = 1; seed <= kRuns; ++seed) {
+    RelaySimulation simulation(seed, {.loses_takeover = true});
+    INFO("seed " << seed);
+    REQUIRE(simulation.Run() == "");
+    served += simulation.served_share();
+  }
+  INFO("served " << served / kRuns);
+  CHECK(served / kRuns > 0.25);
+}
+
 }  // namespace
 }  // namespace pollenrudder
--- a/packages/grants/relay_simulation.cc
+++ b/packages/grants/relay_simulation.cc
@@ -1,6 +1,7 @@
 // RelaySimulation: faults, the processes, and how instances learn the state of
 // the log. relay_simulation_calls.cc has appends, key calls and the checks,
-// relay_simulation_restore.cc the replacements of the log.
+// relay_simulation_restore.cc the replacements of the log,
+// relay_simulation_takeover.cc the ones that lose the term of a second leader.
 
 #include "grants/relay_simulation.h"
 
@@ -44,6 +45,15 @@
       fault_rate_ = 0.2;
     Schedule(2s + Delay(22000), [this] { PlanRestoration(); });
   }
+  if (options_.loses_takeover) {
+    fault_rate_ = Chance(0.7) ? 0 : 0.1;
+    const bool is_early = Chance(0.1);
+    if (is_early) {
+      for (const SimulatedUpstream& process : processes_)
+        unlisted_.insert(process.name);
+    }
+    Schedule(is_early ? 0ms : 2s + Delay(4000), [this] { PlanTakeover(); });
+  }
 }
 
 std::string RelaySimulation::Run() {
@@ -54,7 +64,7 @@
     RunStep();
     ++steps_;
   }
-  if (options_.restores_log && violation_.empty())
+  if ((options_.restores_log || options_.loses_takeover) && violation_.empty())
     Recover();
   return violation_;
 }
@@ -267,7 +277,7 @@
   if (Chance(0.1))
     coordinator.OnFleet(ListOf(index), configuration_, now_);
   Report(index);
-  if (options_.restores_log && Chance(0.02))
+  if ((options_.restores_log || options_.loses_takeover) && Chance(0.02))
     SendLastChange(index);
   if (now_ >= instance.disconnected_until && !IsStoreDown() &&
       !instance.reading &&
--- a/packages/grants/relay_simulation.h
+++ b/packages/grants/relay_simulation.h
@@ -36,6 +36,10 @@
     // Also replaces the log by earlier copies of itself, and checks that all
     // keys are served again after the faults have ended.
     bool restores_log = false;
+    // Loses the part of the log on which a second leader took over from one
+    // that was cut off from the store and moved keys. Implies the checks of
+    // `restores_log`.
+    bool loses_takeover = false;
   };
 
   explicit RelaySimulation(std::uint32_t seed);
@@ -92,6 +96,30 @@
     std::deque<KeyCall> calls;
     bool in_progress = false;
   };
+  // When a leader is cut off from the store, before another takes over on the
+  // part of the log that is lost.
+  enum class CutOff {
+    kAtOnce,
+    // After an append that was executed and whose answer is lost.
+    kAtAppend,
+    kAtResignation,
+    kBeforeFirstTable,
+  };
+  struct Takeover {
+    int former = 0;
+    int successor = 0;
+    CutOff cut_off = CutOff::kAtOnce;
+    // With CutOff::kAtAppend, the appends until then.
+    int appends_left = 0;
+    bool is_cut_off = false;
+    BootTime cut_off_at{};
+    BootTime copied_at{};
+    bool restores_at_once = false;
+    // Calls of the successor to this address do not arrive. Without
+    // `is_refused`, they time out.
+    std::optional<int> unreachable;
+    bool is_refused = false;
+  };
   struct Instance {
     std::unique_ptr<GrantCoordinator> coordinator;
     BootTime disconnected_until{};
@@ -176,6 +204,31 @@
 
   void ReplaceLog(BootTime copied_at);
 
+  // Replaces the log without further faults.
+  void InstallCopy(BootTime copied_at);
+
+  // Waits for a leader to cut off.
+  void PlanTakeover();
+
+  // Cuts the leader off if `append` is the one at which that is planned.
+  // Returns whether the answer to the append is lost.
+  bool CutOffAtAppend(int index, const LogAppend& append);
+
+  // Cuts the leader off from the store, and lets the successor take over.
+  void CutOffLeader();
+
+  // Waits until the successor may move keys.
+  void AwaitTakeover();
+
+  // Changes the load and the upstreams so that the successor moves keys.
+  void ForceMoves();
+
+  void LoseTakeover();
+
+  // Returns how a call of the successor ends that does not reach its upstream.
+  std::optional<KeyCallResult> ResultIfUnreachable(int index,
+                                                   int address) const;
+
   // Returns the log as it was at `time`.
   std::vector<StoredRecord> LogAt(BootTime time) const;
 
@@ -306,6 +359,7 @@
   std::uint64_t first_retained_ = 0;
   BootTime store_down_until_{};
   bool recovers_ = false;
+  std::optional<Takeover> takeover_;
   std::vector<Event> events_;
   std::map<std::string, Link> links_;
   std::array<LastGrant, kSampledKeys.size()> last_grants_{};
--- a/packages/grants/relay_simulation_calls.cc
+++ b/packages/grants/relay_simulation_calls.cc
@@ -63,6 +63,13 @@
              [=, this] { EndAppend(index, incarnation, *result, sent_at); });
     return;
   }
+  if (CutOffAtAppend(index, append)) {
+    Schedule(Delay(50), [=, this] { (void)ExecuteAppend(append); });
+    Schedule(700ms, [=, this] {
+      EndAppend(index, incarnation, LogAppendResult::kUnknown, sent_at);
+    });
+    return;
+  }
   const bool is_unanswered =
       FaultOccurs(0.15) || now_ < instances_[index].disconnected_until;
   const auto run = [=, this] {
@@ -186,6 +193,12 @@
     Schedule(20ms, [=] { end(KeyCallResult::kUnreachable); });
     return;
   }
+  if (const auto result = ResultIfUnreachable(index, address)) {
+    events_.push_back(
+        {*result == KeyCallResult::kUnreachable ? now_ + 20ms : timeout,
+         [=] { end(*result); }});
+    return;
+  }
   // Shared by the events of the call: whether it has ended for the caller.
   const auto ended = std::make_shared<bool>(false);
   const auto answer = [=](KeyCallResult result) {
--- a/packages/grants/relay_simulation_restore.cc
+++ b/packages/grants/relay_simulation_restore.cc
@@ -49,12 +49,16 @@
   events_.push_back({store_down_until_, [=, this] { ReplaceLog(copied_at); }});
 }
 
-void RelaySimulation::ReplaceLog(BootTime copied_at) {
+void RelaySimulation::InstallCopy(BootTime copied_at) {
   std::vector<StoredRecord> copy = LogAt(copied_at);
   former_logs_.push_back({now_, std::exchange(log_, std::move(copy))});
   ++epoch_;
   states_.emplace_back(log_.size() + 1);
   first_retained_ = std::min<std::uint64_t>(first_retained_, log_.size());
+}
+
+void RelaySimulation::ReplaceLog(BootTime copied_at) {
+  InstallCopy(copied_at);
   // The membership group starts anew.
   if (Chance(0.5))
     preferred_ = Pick(kInstances);
@@ -122,6 +126,7 @@
   for (auto& [zone, link] : links_)
     link.full_until = now_;
   unlisted_.clear();
+  takeover_.reset();
   if (ListProcesses().upstreams().empty())
     StartProcess(0, "u" + std::to_string(next_name_++));
 }
