--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -56,13 +56,13 @@
 //   records are lost (see base/log_position.h). Until the new log has a term,
 //   nothing about its state is known. A leader that was confirmed within the
 //   time in which all grants expire continues with the state in its memory and
-//   appends a new term. Another instance may have become leader on the lost part
-//   of the log; its calls can have moved, and can still move, only keys whose
-//   owners have seen its token in a grant or release. So the leader first renews
-//   each row with the token that it used before, which the owner rejects in this
-//   case; only then does it use tokens of the new term, or move the keys. Any
-//   other instance waits for the leader, and then until every grant of earlier
-//   leaders has expired, because it knows no table.
+//   appends a new term. Another instance may have become leader on the lost
+//   part of the log; its calls can have moved, and can still move, only keys
+//   whose owners have seen its token in a grant or release. So the leader first
+//   renews each row with the token that it used before, which the owner rejects
+//   in this case; only then does it use tokens of the new term, or move the
+//   keys. Any other instance waits for the leader, and then until every grant
+//   of earlier leaders has expired, because it knows no table.
 //
 // The preferred leader of the membership group takes over when the leader is
 // lost. A leader that is no longer preferred stays leader and appends its term
