Answer load reports only with updates that stand for a current read

The grant leader had lost the store. Each instance that misses an update reports to the leader past its relay, 0.15 s before it would read the store itself, and the leader answered each such report at once with its last known positions, until its term had been unconfirmed for 4.5 s. The receiver takes an update for a sign that its sender reaches the store.

A report is now answered with an update only if the list was read within the time after which receivers take updates for late. Updates after a read are sent as before.

--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -273,10 +273,12 @@
   // leader.
   if (!is_new)
     return;
-  if (SendsOwnUpdates())
-    channel_->Send({sender}, MakeUpdate(), grant_driver_.HopOfOwnUpdates());
-  else if (update_relay_.IsRelayActive())
+  if (SendsOwnUpdates()) {
+    if (update_relay_.HasCurrentRead(BootClock::now()))
+      channel_->Send({sender}, MakeUpdate(), grant_driver_.HopOfOwnUpdates());
+  } else if (update_relay_.IsRelayActive()) {
     channel_->Send({sender}, last_update_, InstanceChannel::Hop::kForwarded);
+  }
 }
 
 void EntryInstance::OnTableUpdate(const TableUpdate& update,
--- a/packages/entry/update_relay.cc
+++ b/packages/entry/update_relay.cc
@@ -29,6 +29,11 @@
   reads_.push_back({from, to, changes});
   if (reads_.size() > kKeptReads)
     reads_.pop_front();
+  last_read_ = BootClock::now();
+}
+
+bool UpdateRelay::HasCurrentRead(BootTime now) const {
+  return now < last_read_ + update_timeout_;
 }
 
 RelayedUpdate UpdateRelay::MakeUpdate(std::uint64_t configuration_version,
--- a/packages/entry/update_relay.h
+++ b/packages/entry/update_relay.h
@@ -55,6 +55,10 @@
                   const std::vector<FleetChange>& changes);
   RelayedUpdate MakeUpdate(std::uint64_t configuration_version,
                            std::uint64_t grant_log_offset) const;
+  // Whether the list was read so recently that an update may be sent without
+  // another read. Receivers take an update as a sign that its sender reaches
+  // the store, and do not read the store themselves.
+  bool HasCurrentRead(BootTime now) const;
 
   // Receiver. The next update may take `extra_time` longer than usual.
   void OnRelayedUpdate(const RelayedUpdate& update,
@@ -82,6 +86,8 @@
   FeedControl* feeds_ = nullptr;
   // Invariant: each read begins at the position where the previous one ended.
   std::deque<Read> reads_;
+  // When the last of them ended.
+  BootTime last_read_{};
   boost::asio::steady_timer timeout_timer_;
   bool relay_active_ = false;
 };
