Let relays without the store follow the next grant leader

A relay reports to the leader that the log names, and a leader sends to those that report to it. A relay that cannot read the log goes on reporting to the former leader, so the next one never learns of it.

For 5 s, a new leader now also sends its updates to the relays that the former one had named, and an instance reports to the leader that sent its last update, until it knows a later term or the updates end. With few instances there are no relays, and nothing changes for a new leader.

--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -292,7 +292,8 @@
 }
 
 void EntryInstance::OnRelayedUpdate(const RelayedUpdate& update,
-                                    InstanceChannel::Hop hop) {
+                                    InstanceChannel::Hop hop,
+                                    const std::string& sender) {
   // The leader reads the store itself.
   if (grant_driver_.coordinator().IsLeader())
     return;
@@ -302,7 +303,7 @@
     fleet_.OnListAvailable(BootClock::now());
     configuration_relay_.ServeAgain();
   }
-  grant_driver_.OnRelayedUpdate(update);
+  grant_driver_.OnRelayedUpdate(update, hop, sender);
   if (hop == InstanceChannel::Hop::kDirect)
     grant_driver_.SendToInstances(update);
   update_relay_.OnRelayedUpdate(
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -126,7 +126,8 @@
   void OnTableUpdate(const TableUpdate& update,
                      InstanceChannel::Hop hop) override;
   void OnRelayedUpdate(const RelayedUpdate& update,
-                       InstanceChannel::Hop hop) override;
+                       InstanceChannel::Hop hop,
+                       const std::string& sender) override;
   void OnUpdatesRequested(std::uint64_t next_offset,
                           const std::string& sender) override;
 
--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -172,8 +172,10 @@
   if (active == relay_active_)
     return;
   relay_active_ = active;
-  if (!active)
-    ReadLog();
+  if (active)
+    return;
+  update_sender_.clear();
+  ReadLog();
 }
 
 void GrantDriver::OnStoreAvailable() {
@@ -187,11 +189,6 @@
   ReadLogIfNeeded();
 }
 
-void GrantDriver::SendToInstances(const RelayedUpdate& update) {
-  channel_->Send(instance_tracker_.Addresses(BootClock::now()), update,
-                 HopOfOwnUpdates());
-}
-
 void GrantDriver::ConsiderTransfer() {
   const BootTime now = BootClock::now();
   if (!coordinator_.IsActive(now) || stopping_)
@@ -400,6 +397,10 @@
                                              {"key", record.key},
                                              {"reason", record.reason}});
   }
+  if (coordinator_.term() && known_term_offset_ != coordinator_.term_offset()) {
+    known_term_offset_ = coordinator_.term_offset();
+    update_sender_.clear();
+  }
   const bool is_leader = coordinator_.IsLeader();
   if (coordinator_.log_epoch() != log_epoch_) {
     log_epoch_ = coordinator_.log_epoch();
@@ -414,6 +415,11 @@
     if (!is_leader && coordinator_.term() && coordinator_.term()->resigned)
       AwaitSuccessor();
     if (is_leader) {
+      former_relays_.clear();
+      for (const auto& [zone, relay] : zone_relays_.addresses()) {
+        if (relay != address_)
+          former_relays_.push_back(relay);
+      }
       SchedulePoll();
       ScheduleRead();
     }
--- a/packages/entry/grant_driver.h
+++ b/packages/entry/grant_driver.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -65,7 +66,10 @@
   void OnTableUpdate(const TableUpdate& update, InstanceChannel::Hop hop);
   void OnUpdatesRequested(std::uint64_t next_offset, const std::string& sender);
   // Adopts the number of instances and the relays of the zones from `update`.
-  void OnRelayedUpdate(const RelayedUpdate& update);
+  // `sender` is the "ip:port" of the sending instance.
+  void OnRelayedUpdate(const RelayedUpdate& update,
+                       InstanceChannel::Hop hop,
+                       const std::string& sender);
   // Adds the number of instances and the relays of the zones, which the leader
   // chooses here.
   void AddTopologyTo(RelayedUpdate& update);
@@ -88,7 +92,7 @@
   void OnStoreAvailable();
   // Another instance reports that the log ends at `offset`.
   void OnLogEnd(std::uint64_t offset);
-  // Sends `update` to the instances that report to this one.
+  // Sends `update` to the receivers of updates.
   void SendToInstances(const RelayedUpdate& update);
   // The instances that report to this one.
   const InstanceTracker& instance_tracker() const { return instance_tracker_; }
@@ -128,6 +132,10 @@
   // it is not known.
   std::string ReportReceiver() const;
   std::string LeaderAddress() const;
+  // Returns the instances that report to this one. For a new leader, also the
+  // relays of the former one: they report to that one until they learn of this
+  // one, and cannot learn of it from the log without the store.
+  InstanceChannel::Addresses UpdateReceivers() const;
   // Returns whether another instance becomes the preferred leader, so that this
   // one need not join the group.
   bool LeavesMembershipToRelays() const;
@@ -164,6 +172,13 @@
   std::map<std::uint64_t, std::shared_ptr<HttpClient>> release_clients_;
   InstanceTracker instance_tracker_;
   ZoneRelays zone_relays_;
+  // The relays of the former leader, other than this instance.
+  InstanceChannel::Addresses former_relays_;
+  // The leader that sent the last update; empty if none arrived since the relay
+  // stopped or the term changed. An instance without the store has no other way
+  // to learn the leader's address.
+  std::string update_sender_;
+  std::optional<std::uint64_t> known_term_offset_;
   // The load of the instances that report to this one while it is a relay.
   LoadAggregator aggregator_;
   // What this instance sent to those that report to it.
--- a/packages/entry/grant_driver_reports.cc
+++ b/packages/entry/grant_driver_reports.cc
@@ -38,7 +38,11 @@
   return is_new || bypasses_relay;
 }
 
-void GrantDriver::OnRelayedUpdate(const RelayedUpdate& update) {
+void GrantDriver::OnRelayedUpdate(const RelayedUpdate& update,
+                                  InstanceChannel::Hop hop,
+                                  const std::string& sender) {
+  if (hop == InstanceChannel::Hop::kDirect)
+    update_sender_ = sender;
   zone_relays_.Adopt(update.zone_relays);
   coordinator_.set_collects_updates(IsZoneRelay());
   if (update.instances == 0)
@@ -69,10 +73,26 @@
   observer_.OnInstanceCount(instances_);
 }
 
+InstanceChannel::Addresses GrantDriver::UpdateReceivers() const {
+  const BootTime now = BootClock::now();
+  InstanceChannel::Addresses receivers = instance_tracker_.Addresses(now);
+  if (!coordinator_.IsLeader() ||
+      now >= leader_started_at_ + InstanceTracker::kReportTimeout)
+    return receivers;
+  for (const std::string& relay : former_relays_) {
+    if (std::ranges::find(receivers, relay) == receivers.end())
+      receivers.push_back(relay);
+  }
+  return receivers;
+}
+
+void GrantDriver::SendToInstances(const RelayedUpdate& update) {
+  channel_->Send(UpdateReceivers(), update, HopOfOwnUpdates());
+}
+
 void GrantDriver::SendUpdate(const TableUpdate& update) {
   sent_updates_.Add(update);
-  channel_->Send(instance_tracker_.Addresses(BootClock::now()), update,
-                 HopOfOwnUpdates());
+  channel_->Send(UpdateReceivers(), update, HopOfOwnUpdates());
 }
 
 void GrantDriver::OnUpdatesRequested(std::uint64_t next_offset,
@@ -122,6 +142,8 @@
 }
 
 std::string GrantDriver::LeaderAddress() const {
+  if (!update_sender_.empty())
+    return update_sender_;
   const auto& term = coordinator_.term();
   return term && !term->resigned ? term->report_address : std::string();
 }
--- a/packages/entry/instance_channel.cc
+++ b/packages/entry/instance_channel.cc
@@ -155,7 +155,8 @@
   } else if (tag == kRelayedUpdateTag || tag == kForwardedRelayedUpdateTag) {
     if (const auto update = ParseRelayedUpdate(text)) {
       listener_.OnRelayedUpdate(
-          *update, tag == kRelayedUpdateTag ? Hop::kDirect : Hop::kForwarded);
+          *update, tag == kRelayedUpdateTag ? Hop::kDirect : Hop::kForwarded,
+          SenderAddress());
     }
   }
 }
--- a/packages/entry/instance_channel.h
+++ b/packages/entry/instance_channel.h
@@ -35,7 +35,9 @@
     virtual void OnLoadReport(const LoadReport& report,
                               const std::string& sender) = 0;
     virtual void OnTableUpdate(const TableUpdate& update, Hop hop) = 0;
-    virtual void OnRelayedUpdate(const RelayedUpdate& update, Hop hop) = 0;
+    virtual void OnRelayedUpdate(const RelayedUpdate& update,
+                                 Hop hop,
+                                 const std::string& sender) = 0;
     // `sender` misses the table updates from the log offset `next_offset` on.
     virtual void OnUpdatesRequested(std::uint64_t next_offset,
                                     const std::string& sender) = 0;
