Fetch a configuration from the leader where its source has no store

A source whose last read of the list failed now fetches the version from the leader, which names itself as the source of its own zone, or from another zone, and then serves its own zone as usual. If that fails, it reads the store.

The new test fails without the change: the instance never becomes ready and sends no request.

The time at which the version is in force behind such a source was not seen in a log.

--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -320,13 +320,33 @@
 }
 
 void EntryInstance::OnNewerConfiguration(const RelayedUpdate& update) {
-  const auto source = update.configuration_sources.find(settings_.zone);
-  if (source == update.configuration_sources.end() ||
-      source->second == settings_.report_address) {
+  const std::string source = ConfigurationSource(update);
+  if (source.empty())
     feeds_->ReadConfigurationNow();
-    return;
+  else
+    configuration_relay_.Fetch(update.configuration_version, source);
+}
+
+std::string EntryInstance::ConfigurationSource(
+    const RelayedUpdate& update) const {
+  const auto& sources = update.configuration_sources;
+  const auto own = sources.find(settings_.zone);
+  if (own == sources.end())
+    return {};
+  if (own->second != settings_.report_address)
+    return own->second;
+  if (list_available_)
+    return {};
+  // The leader names itself as the source of its zone, and has the version.
+  const std::string leader = grant_driver_.LeaderAddress();
+  std::string other;
+  for (const auto& [zone, source] : sources) {
+    if (source == leader)
+      return source;
+    if (other.empty() && source != settings_.report_address)
+      other = source;
   }
-  configuration_relay_.Fetch(update.configuration_version, source->second);
+  return other;
 }
 
 void EntryInstance::OnConfigurationFetched(
@@ -348,10 +368,12 @@
 }
 
 void EntryInstance::OnListUnavailable() {
+  list_available_ = false;
   EventLog::Write(kListUnavailable, {{"upstreams", fleet_.upstreams().size()}});
 }
 
 void EntryInstance::OnListAvailable() {
+  list_available_ = true;
   fleet_.OnListAvailable(BootClock::now());
   EventLog::Write(kListAvailable, {{"upstreams", fleet_.upstreams().size()}});
   grant_driver_.OnStoreAvailable();
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -98,6 +98,11 @@
   // that it reaches must not rely on its updates.
   bool SendsOwnUpdates() const;
   RelayedUpdate MakeUpdate();
+  // Returns the instance, as "ip:port", from which the version of `update` is
+  // fetched; empty if the store is to be read. The source of a zone reads the
+  // store. Without it, it fetches the version from another zone, since all
+  // instances of its own wait for it.
+  std::string ConfigurationSource(const RelayedUpdate& update) const;
   void ScheduleHousekeeping();
   void ScheduleRemovals();
   void CheckLeaveProgress();
@@ -162,6 +167,8 @@
   RelayedUpdate last_update_;
   ConfigurationRelay configuration_relay_;
   FeedControl* feeds_ = nullptr;
+  // Whether the last read of the list succeeded.
+  bool list_available_ = true;
   std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
   boost::asio::steady_timer housekeeping_timer_;
   boost::asio::steady_timer removal_timer_;
--- a/packages/entry/grant_driver.h
+++ b/packages/entry/grant_driver.h
@@ -82,6 +82,8 @@
     return coordinator_.IsLeader() ? InstanceChannel::Hop::kDirect
                                    : InstanceChannel::Hop::kForwarded;
   }
+  // Returns the "ip:port" of the leader, or an empty string if it is not known.
+  std::string LeaderAddress() const;
   // Announces this instance to the leader, past the relay of its zone.
   void ReportToLeader();
   void OnFleet(const Fleet& fleet, const RouterConfiguration& configuration);
@@ -131,7 +133,6 @@
   // Returns the "ip:port" to which load reports are sent, or an empty string if
   // it is not known.
   std::string ReportReceiver() const;
-  std::string LeaderAddress() const;
   // Returns the instances that report to this one. For a new leader, also the
   // relays of the former one: they report to that one until they learn of this
   // one, and cannot learn of it from the log without the store.
