Leave the replacement of a lost leader to the relays for 2.5 s

The members behind a relay join the group of the store as soon as the relay is silent. Since a leader without the store no longer answers them, that is 1.75 s after its last update, just before its own membership expires. The store then divides its partitions again, and the one that marks the preferred leader can fall to one of these.

Members now join 2.5 s after the relay became silent; the relays, which are in the group, need less than that. If they are lost as well, a member takes over 2.5 s later than before.

--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -21,6 +21,11 @@
 // does not change the preferred leader.
 constexpr milliseconds kJoinInterval{800};
 constexpr milliseconds kRetryDelay{300};
+// The relays of the zones replace a lost leader within this time after the
+// other instances have noticed the loss. If those joined the group meanwhile,
+// the store would divide its partitions again, which delays the replacement,
+// and might prefer an instance with few cores.
+constexpr milliseconds kReplacementByRelaysTime{2500};
 // The log reads of the leader confirm its term, and the preferred leader
 // watches for the loss of the leader. The other instances receive changes from
 // the leader and read the log only when they miss some, because calls to the
@@ -174,6 +179,7 @@
   relay_active_ = active;
   if (active)
     return;
+  relay_stopped_at_ = BootClock::now();
   update_sender_.clear();
   ReadLog();
 }
@@ -238,7 +244,10 @@
 }
 
 bool GrantDriver::LeavesMembershipToRelays() const {
-  return relay_active_ && !zone_relays_.addresses().empty() && !IsZoneRelay() &&
+  const bool has_relay =
+      relay_active_ ||
+      BootClock::now() < relay_stopped_at_ + kReplacementByRelaysTime;
+  return has_relay && !zone_relays_.addresses().empty() && !IsZoneRelay() &&
          !coordinator_.IsLeader();
 }
 
--- a/packages/entry/grant_driver.h
+++ b/packages/entry/grant_driver.h
@@ -137,8 +137,8 @@
   // relays of the former one: they report to that one until they learn of this
   // one, and cannot learn of it from the log without the store.
   InstanceChannel::Addresses UpdateReceivers() const;
-  // Returns whether another instance becomes the preferred leader, so that this
-  // one need not join the group.
+  // Returns whether a relay becomes the preferred leader, so that this instance
+  // need not join the group.
   bool LeavesMembershipToRelays() const;
   void SetInstanceCount(std::uint32_t instances);
   // Transfers the grant leadership to an instance with far more cores.
@@ -200,6 +200,7 @@
   bool reading_log_ = false;
   bool polls_soon_ = false;
   bool relay_active_ = false;
+  BootTime relay_stopped_at_{};
   BootTime last_report_{};
   bool stopping_ = false;
 };
