Stop using an upstream that answers as leaving

Callers' requests reached an upstream that had stated in its responses that it was leaving, for as long as the instance list said that it was ready: until the next read of the list, or without end while the store was away. The platform's upstreams now put this statement into every response and want no request that a caller sent later than the drain timeout after an instance has passed on the first of them.

Cause: only the list could make an upstream leave.

UpstreamProtocol::ParseNotice() reads the statement, also from responses to key calls and only if no other upstream can have sent the response. Before a retry is submitted, the dispatcher notes the incarnation as leaving: queued requests, retries, later requests and those whose connection is being opened go elsewhere. It keeps the note by name and start time, so that the list cannot bring the incarnation back; the next incarnation is used. The connections stay, as for a listed one.

An owner of keys that the list names as leaving gets none of their requests, which wait for the move. The leader that plans the move reads the same list, but learns of a statement in a response only from load reports, so the owner is used for half the drain timeout more unless the list says so too. Load reports name the incarnation, relays of zones pass it on, and the leader plans no keys for it.

The tests of the dispatcher and of the coordinator failed with their checks taken out (3 requests instead of 1 to the leaving upstream; its row not moved).

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -39,6 +39,9 @@
 // How long load reports name an upstream that has ended, so that a new grant
 // leader learns of it too.
 constexpr std::chrono::seconds kReplacedReportTime{15};
+// How long an upstream that announced its leaving is remembered after it was
+// removed from the list. An upstream that leaves ends within this time.
+constexpr std::chrono::minutes kDepartureMemory{10};
 constexpr nanoseconds kDefaultLatency = milliseconds(50);
 constexpr milliseconds kMinRetryAfter{100};
 constexpr milliseconds kMaxRetryAfter{3000};
@@ -92,6 +95,11 @@
       return entry == nullptr || !entry->SameIncarnation(known.second.entry) ||
              entry->service != known.second.entry.service;
     });
+    const auto& listed = service.upstreams;
+    std::erase_if(service.departures, [&listed, now](const auto& departure) {
+      return !listed.contains(departure.first) &&
+             now >= departure.second.since + kDepartureMemory;
+    });
     for (auto& [upstream_name, upstream] : service.upstreams) {
       upstream.estimate.set_max_limit(max_limit);
       upstream.estimate.set_min_limit(
@@ -122,6 +130,10 @@
     upstream.same_zone = entry.zone == options_.zone;
     upstream.same_region = RegionOf(options_, entry.zone) == region_;
     upstream.estimate.set_cold_until(now + entry.cold_remaining);
+    const auto departure = service->second.departures.find(name);
+    if (departure != service->second.departures.end() &&
+        departure->second.started_at == entry.started_at)
+      upstream.leaving_since = departure->second.since;
     upstreams.emplace(name, std::move(upstream));
   }
   for (auto& [name, service] : services_)
@@ -191,14 +203,45 @@
   ProcessQueue(service->second, now);
 }
 
-bool Dispatcher::MaySendTo(std::string_view service,
-                           const ListedUpstream& upstream) const {
-  const auto known = services_.find(service);
-  if (known == services_.end())
+bool Dispatcher::OnLeavingAnnounced(const std::string& service_name,
+                                    const ListedUpstream& upstream,
+                                    BootTime now) {
+  const auto service = services_.find(service_name);
+  if (service == services_.end())
     return false;
-  const auto at = known->second.upstreams.find(upstream.name);
-  return at != known->second.upstreams.end() && at->second.IsUsable() &&
-         at->second.entry.SameIncarnation(upstream);
+  auto& departures = service->second.departures;
+  const auto known = departures.find(upstream.name);
+  // A response of an earlier incarnation may arrive after one of its successor.
+  if (known != departures.end() &&
+      known->second.started_at >= upstream.started_at)
+    return false;
+  departures[upstream.name] = {upstream.started_at, now};
+  const auto at = service->second.upstreams.find(upstream.name);
+  if (at != service->second.upstreams.end() &&
+      at->second.entry.started_at == upstream.started_at)
+    at->second.leaving_since = now;
+  return true;
+}
+
+bool Dispatcher::MaySendTo(const DispatchRequest& request,
+                           const ListedUpstream& upstream,
+                           BootTime now) const {
+  const auto service = services_.find(request.service);
+  if (service == services_.end())
+    return false;
+  const auto at = service->second.upstreams.find(upstream.name);
+  return at != service->second.upstreams.end() &&
+         at->second.entry.SameIncarnation(upstream) &&
+         IsUsableFor(service->second, at->second, request, now);
+}
+
+bool Dispatcher::IsUsableFor(const Service& service,
+                             const Upstream& upstream,
+                             const DispatchRequest& request,
+                             BootTime now) const {
+  return service.owns_keys && request.key
+             ? upstream.IsUsableAsOwner(options_.leaving_owner_time, now)
+             : upstream.IsUsable();
 }
 
 void Dispatcher::Tick(BootTime now) {
@@ -247,6 +290,9 @@
       if (answered > 0 || upstream.estimate.in_flight() > 0)
         load.upstreams[upstream_name] = {upstream.estimate.in_flight(),
                                          answered};
+      // Otherwise the grant leader reads it from the list.
+      if (upstream.leaving_since && !upstream.entry.leaving)
+        load.leaving.push_back({upstream_name, upstream.entry.started_at});
     }
     for (const DispatchRequest& request : service.queue.requests()) {
       const KeyAssignment* row = service.keys != nullptr && request.key
@@ -260,7 +306,7 @@
     });
     for (const auto& [incarnation, time] : service.replaced)
       load.replaced.push_back(incarnation);
-    if (!load.keys.empty() || !load.upstreams.empty() || !load.replaced.empty())
+    if (!load.IsEmpty())
       loads.emplace(name, std::move(load));
   }
   return loads;
@@ -274,7 +320,8 @@
   if (row == nullptr || row->moving)
     return {Choice::kNoOwner};
   const auto at = service.upstreams.find(row->owner.name);
-  if (at == service.upstreams.end() || !at->second.IsUsable() ||
+  if (at == service.upstreams.end() ||
+      !IsUsableFor(service, at->second, request, now) ||
       at->second.entry.started_at != row->owner.started_at)
     return {Choice::kNoOwner};
   const auto rejected = service.rejected_rows.find(row->keys.first);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -42,6 +43,10 @@
     // Maps availability zones to regions.
     std::map<std::string, std::string, std::less<>> region_of_zone;
     std::uint64_t seed = 0;
+    // How long the owner of a key gets its requests after it announced that it
+    // is leaving, unless the instance list says so too. Its keys are moved
+    // meanwhile.
+    std::chrono::nanoseconds leaving_owner_time = std::chrono::seconds(1);
   };
 
   // `listener` must outlive the dispatcher.
@@ -69,10 +74,18 @@
                std::chrono::nanoseconds elapsed,
                BootTime now);
 
+  // Called when a response of `upstream` states that it is leaving; before the
+  // request of that response is submitted again or ended. Returns whether that
+  // is new. This incarnation gets no more requests, whatever the list says.
+  bool OnLeavingAnnounced(const std::string& service,
+                          const ListedUpstream& upstream,
+                          BootTime now);
+
   // Returns whether the upstream to which a request is being sent may still get
   // it. It may have begun to leave while the connection was opened.
-  bool MaySendTo(std::string_view service,
-                 const ListedUpstream& upstream) const;
+  bool MaySendTo(const DispatchRequest& request,
+                 const ListedUpstream& upstream,
+                 BootTime now) const;
 
   // Sends and refuses the queued requests that are due. Call it every few tens
   // of milliseconds while requests are queued.
@@ -103,8 +116,23 @@
     // Another upstream responded at its address: this one has ended, although
     // it is still listed.
     bool replaced = false;
-
-    bool IsUsable() const { return !entry.leaving && !replaced; }
+    // When a response first stated that it is leaving.
+    std::optional<BootTime> leaving_since;
+
+    bool IsUsable() const {
+      return !entry.leaving && !replaced && !leaving_since;
+    }
+    // As IsUsable(), for requests with keys that it owns.
+    bool IsUsableAsOwner(std::chrono::nanoseconds leaving_time,
+                         BootTime now) const {
+      return !entry.leaving && !replaced &&
+             (!leaving_since || now < *leaving_since + leaving_time);
+    }
+  };
+  // An incarnation that announced that it is leaving.
+  struct Departure {
+    std::chrono::milliseconds started_at{0};
+    BootTime since{};
   };
   struct Service {
     std::map<std::string, Upstream, std::less<>> upstreams;
@@ -118,6 +146,9 @@
     // Upstreams that have ended, because another one responded at their
     // address, and when that happened.
     std::vector<std::pair<UpstreamIncarnation, BootTime>> replaced;
+    // By upstream name. Includes upstreams that are no longer listed, because
+    // the list may name such an incarnation again.
+    std::map<std::string, Departure, std::less<>> departures;
   };
   enum class Choice { kSend, kWait, kNoUpstream, kNoOwner };
   struct Decision {
@@ -125,6 +156,10 @@
     Upstream* upstream = nullptr;
   };
 
+  bool IsUsableFor(const Service& service,
+                   const Upstream& upstream,
+                   const DispatchRequest& request,
+                   BootTime now) const;
   Decision Decide(Service& service,
                   const DispatchRequest& request,
                   BootTime now);
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -260,6 +260,109 @@
   CHECK(fixture.recorder.CountTo("leaves") == 0);
 }
 
+// Guards against requests that reach a leaving upstream for as long as the list
+// says that it is ready, for example while the store is away, and against a
+// list that brings it back.
+TEST_CASE("Dispatcher sends nothing to an upstream that answered as leaving") {
+  Fixture fixture;
+  fixture.Add("stays", "a1", 1);
+  fixture.Add("leaves", "a1", 1);
+  for (std::uint64_t id = 1; id <= 4; ++id)
+    fixture.dispatcher.Submit(fixture.Request(id, At(0ms)), At(0ms));
+  REQUIRE(fixture.recorder.CountTo("leaves") == 1);
+  ListedUpstream entry = *fixture.fleet.Find("leaves");
+  CHECK(fixture.dispatcher.OnLeavingAnnounced("soil", entry, At(10ms)));
+  CHECK_FALSE(fixture.dispatcher.OnLeavingAnnounced("soil", entry, At(11ms)));
+  // Requests that are queued, or whose connection is being opened.
+  fixture.End("leaves", AttemptResult::kAnswered, 10ms, At(10ms));
+  CHECK(fixture.recorder.CountTo("leaves") == 1);
+  CHECK_FALSE(fixture.dispatcher.MaySendTo(fixture.Request(5, At(10ms)), entry,
+                                           At(10ms)));
+  const auto submit = [&](std::uint64_t id, BootTime now) {
+    fixture.dispatcher.SetFleet(fixture.fleet, fixture.configuration, 4, now);
+    fixture.End("stays", AttemptResult::kAnswered, 10ms, now);
+    fixture.dispatcher.Submit(fixture.Request(id, now), now);
+  };
+  SECTION("and is still listed as ready") {
+    for (std::uint64_t id = 5; id <= 12; ++id)
+      submit(id, At(100ms * id));
+    CHECK(fixture.recorder.CountTo("leaves") == 1);
+  }
+  SECTION("and is listed again") {
+    fixture.fleet.Apply({"leaves", std::nullopt}, At(20ms));
+    submit(5, At(500ms));
+    fixture.fleet.Apply({"leaves", entry}, At(600ms));
+    for (std::uint64_t id = 6; id <= 12; ++id)
+      submit(id, At(100ms * id));
+    CHECK(fixture.recorder.CountTo("leaves") == 1);
+  }
+  SECTION("until it has restarted") {
+    entry.started_at = 2ms;
+    fixture.fleet.Apply({"leaves", entry}, At(20ms));
+    submit(5, At(500ms));
+    submit(6, At(500ms));
+    CHECK(fixture.recorder.CountTo("leaves") > 1);
+    // A late response of the former incarnation.
+    entry.started_at = 1ms;
+    fixture.dispatcher.OnLeavingAnnounced("soil", entry, At(510ms));
+    CHECK(fixture.dispatcher.MaySendTo(fixture.Request(7, At(510ms)),
+                                       *fixture.fleet.Find("leaves"),
+                                       At(510ms)));
+  }
+}
+
+// Guards against keys that nobody serves from the announcement of their owner
+// until they are moved, and against requests to it after that.
+TEST_CASE(
+    "Dispatcher uses an owner that answered as leaving for a short time") {
+  Fixture fixture;
+  const KeyTable table = fixture.AddOwnerOfAllKeys("old");
+  fixture.Add("new", "a1", 2);
+  fixture.dispatcher.SetKeyTable("soil", &table, At(0ms));
+  ListedUpstream entry = *fixture.fleet.Find("old");
+  fixture.dispatcher.OnLeavingAnnounced("soil", entry, At(0ms));
+  const auto submit = [&](std::uint64_t id, BootTime now) {
+    DispatchRequest request = fixture.Request(id, now);
+    request.key = 5;
+    fixture.dispatcher.Submit(request, now);
+    return fixture.dispatcher.MaySendTo(request, entry, now);
+  };
+  SECTION("unless the list says so too") {
+    entry.leaving = true;
+    fixture.fleet.Apply({"old", entry}, At(100ms));
+    fixture.dispatcher.SetFleet(fixture.fleet, fixture.configuration, 4,
+                                At(100ms));
+    CHECK_FALSE(submit(1, At(100ms)));
+    CHECK(fixture.recorder.sent.empty());
+    return;
+  }
+  CHECK(submit(1, At(999ms)));
+  CHECK(fixture.recorder.CountTo("old") == 1);
+  CHECK_FALSE(submit(2, At(1000ms)));
+  CHECK(fixture.recorder.CountTo("old") == 1);
+  SECTION("the queued request goes to the next owner") {
+    KeyAssignment row;
+    row.owner = {"new", 1ms};
+    KeyTable moved;
+    moved.Assign(row);
+    fixture.dispatcher.SetKeyTable("soil", &moved, At(1100ms));
+    CHECK(fixture.recorder.CountTo("new") == 1);
+  }
+  SECTION("the grant leader learns of it") {
+    const auto load = fixture.dispatcher.TakeLoad(At(1100ms));
+    REQUIRE(load.contains("soil"));
+    REQUIRE(load.at("soil").leaving.size() == 1);
+    CHECK(load.at("soil").leaving[0] == UpstreamIncarnation{"old", 1ms});
+    CHECK(fixture.dispatcher.TakeLoad(At(100s)).at("soil").leaving.size() == 1);
+    entry.leaving = true;
+    fixture.fleet.Apply({"old", entry}, At(100s));
+    fixture.dispatcher.SetFleet(fixture.fleet, fixture.configuration, 4,
+                                At(100s));
+    const auto listed = fixture.dispatcher.TakeLoad(At(100s));
+    CHECK((!listed.contains("soil") || listed.at("soil").leaving.empty()));
+  }
+}
+
 // Load pattern: moves of hot keys. Requests are queued while their key moves,
 // and then go to the new owner.
 TEST_CASE("Dispatcher queues requests while their key moves") {
--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -82,6 +82,10 @@
 // a new leader waits until the grants of earlier ones have expired.
 inline constexpr LogEvent kGrantRecordUnreadable{
     9024, "grant_record_unreadable", LogLevel::kError};
+// An upstream stated in a response that it is leaving; it gets no more requests
+// from this instance.
+inline constexpr LogEvent kLeavingAnnounced{9031, "upstream_leaving_announced",
+                                            LogLevel::kInfo};
 
 // The grant log was replaced by an earlier copy of itself.
 inline constexpr LogEvent kGrantLogReplaced{9025, "grant_log_replaced",
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -45,7 +45,8 @@
 
 Forwarder::Options ForwarderOptions(const EntrySettings& settings) {
   Forwarder::Options options;
-  options.dispatch = {settings.zone, settings.region_of_zone, RandomSeed()};
+  options.dispatch = {settings.zone, settings.region_of_zone, RandomSeed(),
+                      settings.leaving_owner_time};
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.retry_window = settings.retry_window;
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -38,6 +38,9 @@
   // Interval at which the instance list is read. The platform derives it from
   // the time within which a leaving upstream must stop receiving new requests.
   std::chrono::nanoseconds list_interval = std::chrono::milliseconds(900);
+  // How long the owner of keys gets requests after it announced that it is
+  // leaving. Derived from the same time.
+  std::chrono::nanoseconds leaving_owner_time = std::chrono::seconds(1);
 };
 
 }  // namespace pollenrudder
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -273,9 +273,10 @@
     return false;
   const ActiveRequest& request = it->second;
   const auto caller = request.caller.lock();
+  const BootTime now = BootClock::now();
   return caller && !caller->HasPeerClosed() &&
-         BootClock::now() < request.dispatch.deadline &&
-         dispatcher_.MaySendTo(request.dispatch.service, *request.upstream);
+         now < request.dispatch.deadline &&
+         dispatcher_.MaySendTo(request.dispatch, *request.upstream, now);
 }
 
 AttemptResult Forwarder::ClassifyAttempt(HttpCallResult result,
@@ -336,6 +337,12 @@
                  "result=\"" + std::string(Name(result)) + '"');
   const DispatchRequest dispatch = request.dispatch;
 
+  // Before a retry, which must not go to this upstream.
+  if (call_result == HttpCallResult::kAnswered &&
+      result != AttemptResult::kLost)
+    ApplyNotice(dispatch.service, upstream,
+                protocol_.ParseNotice(response, upstream.name), now);
+
   const bool is_final = result == AttemptResult::kAnswered ||
                         (result == AttemptResult::kErrorResponse &&
                          (!request.repeatable || response.status < 500));
@@ -363,6 +370,22 @@
   ScheduleTick();
 }
 
+void Forwarder::ApplyNotice(const std::string& service,
+                            const ListedUpstream& upstream,
+                            const UpstreamNotice& notice,
+                            BootTime now) {
+  if (notice.leaving &&
+      dispatcher_.OnLeavingAnnounced(service, upstream, now)) {
+    metrics_.Count("entry_leaving_announced_total",
+                   "service=\"" + service + '"');
+    EventLog::WriteLazily(kLeavingAnnounced, [&] {
+      return std::vector<LogField>{{"upstream", upstream.name},
+                                   {"service", service},
+                                   {"listed_leaving", upstream.leaving}};
+    });
+  }
+}
+
 bool Forwarder::TryConsumeRetry(ActiveRequest& request,
                                 AttemptResult result,
                                 BootTime now) {
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -109,6 +109,11 @@
   AttemptResult ClassifyAttempt(HttpCallResult result,
                                 const HttpResponse& response,
                                 const std::string& upstream) const;
+  // Passes what a response states about its upstream on to the dispatcher.
+  void ApplyNotice(const std::string& service,
+                   const ListedUpstream& upstream,
+                   const UpstreamNotice& notice,
+                   BootTime now);
   // Returns whether the request may be retried after `result`; consumes the
   // retry budget for it.
   bool TryConsumeRetry(ActiveRequest& request,
--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -533,6 +533,9 @@
                  result == HttpCallResult::kNotConnected ||
                  result == HttpCallResult::kNotSent)
           outcome.first = KeyCallResult::kUnreachable;
+        if (result == HttpCallResult::kAnswered &&
+            protocol_.ParseNotice(response, call.upstream.name).leaving)
+          coordinator_.OnUpstreamLeaving(call.service, call.upstream);
         const bool grant = call.kind == KeyCall::Kind::kGrant;
         metrics_.Count("key_calls_total",
                        std::string("kind=\"") + (grant ? "grant" : "release") +
--- a/packages/entry/load_aggregator.cc
+++ b/packages/entry/load_aggregator.cc
@@ -8,6 +8,17 @@
 #include "entry/instance_tracker.h"
 
 namespace pollenrudder {
+namespace {
+
+void AddMissing(const std::vector<UpstreamIncarnation>& from,
+                std::vector<UpstreamIncarnation>& to) {
+  for (const UpstreamIncarnation& incarnation : from) {
+    if (std::ranges::find(to, incarnation) == to.end())
+      to.push_back(incarnation);
+  }
+}
+
+}  // namespace
 
 void LoadAggregator::Add(const LoadReport& report, BootTime now) {
   last_report_[report.instance] = now;
@@ -24,11 +35,8 @@
         upstream.outstanding_by_instance[report.instance] = share.outstanding;
       upstream.answered += share.answered;
     }
-    for (const UpstreamIncarnation& incarnation : load.replaced) {
-      if (std::ranges::find(service.replaced, incarnation) ==
-          service.replaced.end())
-        service.replaced.push_back(incarnation);
-    }
+    AddMissing(load.replaced, service.replaced);
+    AddMissing(load.leaving, service.leaving);
   }
 }
 
@@ -55,12 +63,9 @@
       share.answered += std::exchange(upstream.answered, 0);
       upstream.was_outstanding = outstanding > 0;
     }
-    for (const UpstreamIncarnation& incarnation :
-         std::exchange(service.replaced, {})) {
-      if (std::ranges::find(load.replaced, incarnation) == load.replaced.end())
-        load.replaced.push_back(incarnation);
-    }
-    if (!load.keys.empty() || !load.upstreams.empty() || !load.replaced.empty())
+    AddMissing(std::exchange(service.replaced, {}), load.replaced);
+    AddMissing(std::exchange(service.leaving, {}), load.leaving);
+    if (!load.IsEmpty())
       services.insert_or_assign(name, std::move(load));
   }
 }
--- a/packages/entry/load_aggregator.h
+++ b/packages/entry/load_aggregator.h
@@ -37,6 +37,7 @@
     std::vector<KeyNumber> keys;
     std::map<std::string, Upstream, std::less<>> upstreams;
     std::vector<UpstreamIncarnation> replaced;
+    std::vector<UpstreamIncarnation> leaving;
   };
 
   // Drops the requests in flight of instances that no longer report.
--- a/packages/entry/load_aggregator_test.cc
+++ b/packages/entry/load_aggregator_test.cc
@@ -51,6 +51,23 @@
   CHECK(next["soil"].upstreams["u-1"].answered == 0);
 }
 
+// Guards against keys that stay with a leaving upstream because the relay of a
+// zone drops what its members learned.
+TEST_CASE("LoadAggregator passes on which upstreams are leaving") {
+  LoadAggregator aggregator;
+  LoadReport report;
+  report.instance = "a-1";
+  report.services["soil"].leaving = {{"u-1", 1ms}};
+  aggregator.Add(report, At(0ms));
+  report.instance = "a-2";
+  aggregator.Add(report, At(10ms));
+  Services services;
+  aggregator.AddTo(services, At(20ms));
+  REQUIRE(services.contains("soil"));
+  CHECK(services["soil"].leaving ==
+        std::vector<UpstreamIncarnation>{{"u-1", 1ms}});
+}
+
 // Guards against requests in flight that count forever, so that their upstream
 // looks busy and gets no keys.
 TEST_CASE("LoadAggregator forgets requests that ended or whose instance left") {
--- a/packages/entry/upstream_protocol.h
+++ b/packages/entry/upstream_protocol.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "entry/caller_fields.h"
+#include "entry/upstream_notice.h"
 #include "fleet/listed_upstream.h"
 #include "grants/grant_actions.h"
 #include "http/http_message.h"
@@ -49,6 +50,10 @@
   // Returns whether `response` is the response to the request with this id.
   virtual bool IsResponseTo(const HttpResponse& response,
                             std::string_view request_id) const = 0;
+  // Returns what `response` states about the upstream `upstream`. Empty if
+  // another upstream may have sent the response. Applies to key calls too.
+  virtual UpstreamNotice ParseNotice(const HttpResponse& response,
+                                     std::string_view upstream) const = 0;
   // Adds the header fields of responses that the router itself generates.
   virtual void AddRouterHeaders(HttpResponse& response,
                                 std::string_view request_id) const = 0;
--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -472,9 +472,17 @@
       OnIncarnationEnded(at->second, incarnation);
       at->second.excluded_until[incarnation.name] = now + kReplacedExclusion;
     }
+    for (const UpstreamIncarnation& incarnation : load.leaving)
+      OnUpstreamLeaving(service, incarnation);
   }
 }
 
+void GrantCoordinator::OnUpstreamLeaving(const std::string& service,
+                                         const UpstreamIncarnation& upstream) {
+  auto& started_at = services_[service].leaving[upstream.name];
+  started_at = std::max(started_at, upstream.started_at);
+}
+
 bool GrantCoordinator::IsActive(BootTime now) const {
   return is_leader_ &&
          now < term_confirmed_at_ + options_.times.leader_lease_duration;
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -123,6 +123,9 @@
                const RouterConfiguration& configuration,
                BootTime now);
   void OnLoadReport(const LoadReport& report, BootTime now);
+  // A response of `upstream` states that it is leaving. It gets no more keys.
+  void OnUpstreamLeaving(const std::string& service,
+                         const UpstreamIncarnation& upstream);
   // `handover` is the data that a release returned.
   void OnCallEnded(std::uint64_t id,
                    KeyCallResult result,
@@ -230,6 +233,9 @@
     // Upstreams that get no keys until the given time, because calls to them
     // failed or they were replaced.
     std::map<std::string, BootTime, std::less<>> excluded_until;
+    // Start times, by name, of the incarnations that announced that they are
+    // leaving. The instance list may not say so.
+    std::map<std::string, std::chrono::milliseconds, std::less<>> leaving;
   };
   // The latest call to an availability zone that was answered.
   struct AnsweredCall {
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -325,6 +325,10 @@
   for (const auto& [name, upstream] : fleet_) {
     if (upstream.service != service || upstream.leaving)
       continue;
+    const auto announced = state.leaving.find(name);
+    if (announced != state.leaving.end() &&
+        announced->second == upstream.started_at)
+      continue;
     const auto excluded = state.excluded_until.find(name);
     if (excluded == state.excluded_until.end() || now >= excluded->second)
       candidates.push_back({{name, upstream.started_at}, upstream.slots});
--- a/packages/grants/grant_coordinator_test.cc
+++ b/packages/grants/grant_coordinator_test.cc
@@ -466,6 +466,42 @@
   CHECK(granted);
 }
 
+// Guards against keys that stay with an upstream that the list still names as
+// ready although it has announced that it is leaving: after a short time no
+// instance sends it their requests.
+TEST_CASE(
+    "GrantCoordinator moves the keys of an upstream that announced its "
+    "leaving") {
+  GrantCoordinator coordinator = MakeLeader(2);
+  SECTION("in a load report") {
+    LoadReport report;
+    report.instance = "front-2";
+    report.services["geodata"].leaving = {{"u1", 1ms}};
+    const auto parsed = ParseLoadReport(EncodeLoadReport(report));
+    REQUIRE(parsed);
+    coordinator.OnLoadReport(*parsed, At(1010ms));
+  }
+  SECTION("in a response to a key call") {
+    coordinator.OnUpstreamLeaving("geodata", {"u1", 1ms});
+  }
+  Run(coordinator, 1010ms, 1500ms);
+  const auto count_rows = [&] {
+    return std::ranges::count_if(
+        coordinator.tables().at("geodata").rows(),
+        [](const KeyAssignment& row) { return row.owner.name == "u1"; });
+  };
+  CHECK(coordinator.tables().at("geodata").Gaps().empty());
+  CHECK(count_rows() == 0);
+  // The next incarnation may own keys.
+  Fleet fleet = MakeFleet(2);
+  ListedUpstream entry = *fleet.Find("u1");
+  entry.started_at = 2ms;
+  fleet.Apply({"u1", entry}, At(1500ms));
+  coordinator.OnFleet(fleet, MakeConfiguration(), At(1500ms));
+  Run(coordinator, 1510ms, 4000ms);
+  CHECK(count_rows() > 0);
+}
+
 // Guards against a repeated wait after a restart of the leader long after its
 // own wait was over.
 TEST_CASE("GrantCoordinator records that its wait is over") {
--- a/packages/grants/load_report.cc
+++ b/packages/grants/load_report.cc
@@ -15,6 +15,26 @@
   return {text.data(), text.size()};
 }
 
+json::array EncodeIncarnations(
+    const std::vector<UpstreamIncarnation>& incarnations) {
+  json::array encoded;
+  for (const UpstreamIncarnation& incarnation : incarnations)
+    encoded.push_back(
+        json::array{incarnation.name, incarnation.started_at.count()});
+  return encoded;
+}
+
+std::vector<UpstreamIncarnation> ParseIncarnations(const json::value& encoded) {
+  std::vector<UpstreamIncarnation> incarnations;
+  for (const json::value& incarnation : encoded.as_array()) {
+    incarnations.push_back(
+        {JsonText(incarnation.as_array().at(0)),
+         std::chrono::milliseconds(
+             incarnation.as_array().at(1).to_number<std::int64_t>())});
+  }
+  return incarnations;
+}
+
 }  // namespace
 
 std::string EncodeLoadReport(const LoadReport& report) {
@@ -24,12 +44,12 @@
     json::object upstreams;
     for (const auto& [upstream, share] : load.upstreams)
       upstreams[upstream] = json::array{share.outstanding, share.answered};
-    json::array replaced;
-    for (const UpstreamIncarnation& incarnation : load.replaced)
-      replaced.push_back(
-          json::array{incarnation.name, incarnation.started_at.count()});
-    services[name] = json::array{json::value(std::move(keys)),
-                                 std::move(upstreams), std::move(replaced)};
+    json::array parts{json::value(std::move(keys)), std::move(upstreams),
+                      EncodeIncarnations(load.replaced)};
+    // Rarely there, and the bytes of reports to another region are billed.
+    if (!load.leaving.empty())
+      parts.push_back(EncodeIncarnations(load.leaving));
+    services[name] = std::move(parts);
   }
   json::object object{{"i", report.instance},
                       {"z", report.zone},
@@ -65,12 +85,9 @@
             share.as_array().at(0).to_number<std::uint32_t>(),
             share.as_array().at(1).to_number<std::uint32_t>()};
       }
-      for (const json::value& incarnation : parts.as_array().at(2).as_array()) {
-        load.replaced.push_back(
-            {JsonText(incarnation.as_array().at(0)),
-             std::chrono::milliseconds(
-                 incarnation.as_array().at(1).to_number<std::int64_t>())});
-      }
+      load.replaced = ParseIncarnations(parts.as_array().at(2));
+      if (parts.as_array().size() > 3)
+        load.leaving = ParseIncarnations(parts.as_array().at(3));
     }
     return report;
   } catch (const std::exception&) {
--- a/packages/grants/load_report.h
+++ b/packages/grants/load_report.h
@@ -32,6 +32,14 @@
   // Incarnations that have ended, because another upstream responded at their
   // address. Repeated in several reports, since a report may be lost.
   std::vector<UpstreamIncarnation> replaced;
+  // Incarnations that announced in a response that they are leaving. Named in
+  // each report while the instance list says that they are ready.
+  std::vector<UpstreamIncarnation> leaving;
+
+  bool IsEmpty() const {
+    return keys.empty() && upstreams.empty() && replaced.empty() &&
+           leaving.empty();
+  }
 };
 
 // The report of one instance, sent as a datagram at short intervals; it may be
