Send nothing to an upstream in a pause that it requested

An upstream that rejects a request with 503 may state for how long it wants none from the instance. The instance went on sending: its estimate only lowered the number of requests in flight, and the owner of a hot key got the next request after a pause of the instance's own choice. Callers were told to come back before the upstream wanted them.

Until the latest such time, the estimate of the upstream has no capacity, which covers new and queued requests, retries and the probe after failures, and MaySendTo() stops a request whose connection is being opened. Like the announced leaving, the time is kept by name and start time while the list drops the upstream. Afterwards requests are sent one at a time until the limit has grown again, so that the queue does not empty into the upstream at once. Grants and releases of keys are not held back.

If all upstreams that may get a request want none, it waits only if the first pause ends in time for its latency objective. Otherwise it is refused at once as not run, consumes no retry budget, and the Retry-After of the response is the time left plus up to a quarter, so that callers come back one by one. A pause in the instance's own region lets requests leave it.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -1,4 +1,5 @@
 // Dispatcher: choice of the upstream, queueing and refusal.
+// dispatcher_notices.cc has what upstreams state about themselves.
 
 #include "dispatch/dispatcher.h"
 
@@ -100,6 +101,9 @@
       return !listed.contains(departure.first) &&
              now >= departure.second.since + kDepartureMemory;
     });
+    std::erase_if(service.pauses, [now](const auto& pause) {
+      return now >= pause.second.until;
+    });
     for (auto& [upstream_name, upstream] : service.upstreams) {
       upstream.estimate.set_max_limit(max_limit);
       upstream.estimate.set_min_limit(
@@ -134,6 +138,10 @@
     if (departure != service->second.departures.end() &&
         departure->second.started_at == entry.started_at)
       upstream.leaving_since = departure->second.since;
+    const auto pause = service->second.pauses.find(name);
+    if (pause != service->second.pauses.end() &&
+        pause->second.started_at == entry.started_at)
+      upstream.estimate.OnPauseRequested(pause->second.until);
     upstreams.emplace(name, std::move(upstream));
   }
   for (auto& [name, service] : services_)
@@ -159,7 +167,7 @@
   const nanoseconds total = request.deadline - request.arrived;
   if (now + wait + MeanLatency(service, now) >
       request.arrived + FromCount(ToCount(total) * kMaxDeadlineShare)) {
-    Refuse(request, ErrorKind::kNotRunOverloaded, wait);
+    Refuse(service, request, ErrorKind::kNotRunOverloaded, wait, now);
     return;
   }
   service.queue.Add(std::move(request));
@@ -203,45 +211,23 @@
   ProcessQueue(service->second, now);
 }
 
-bool Dispatcher::OnLeavingAnnounced(const std::string& service_name,
-                                    const ListedUpstream& upstream,
-                                    BootTime now) {
-  const auto service = services_.find(service_name);
-  if (service == services_.end())
-    return false;
-  auto& departures = service->second.departures;
-  const auto known = departures.find(upstream.name);
-  // A response of an earlier incarnation may arrive after one of its successor.
-  if (known != departures.end() &&
-      known->second.started_at >= upstream.started_at)
-    return false;
-  departures[upstream.name] = {upstream.started_at, now};
-  const auto at = service->second.upstreams.find(upstream.name);
-  if (at != service->second.upstreams.end() &&
-      at->second.entry.started_at == upstream.started_at)
-    at->second.leaving_since = now;
-  return true;
-}
-
-bool Dispatcher::MaySendTo(const DispatchRequest& request,
-                           const ListedUpstream& upstream,
-                           BootTime now) const {
+bool Dispatcher::IsRefusedForPause(const DispatchRequest& request,
+                                   BootTime now) const {
   const auto service = services_.find(request.service);
-  if (service == services_.end())
-    return false;
-  const auto at = service->second.upstreams.find(upstream.name);
-  return at != service->second.upstreams.end() &&
-         at->second.entry.SameIncarnation(upstream) &&
-         IsUsableFor(service->second, at->second, request, now);
+  return service != services_.end() &&
+         !CanWaitUntil(service->second, request,
+                       ResumesAt(service->second, request, now), now);
 }
 
-bool Dispatcher::IsUsableFor(const Service& service,
-                             const Upstream& upstream,
-                             const DispatchRequest& request,
-                             BootTime now) const {
-  return service.owns_keys && request.key
-             ? upstream.IsUsableAsOwner(options_.leaving_owner_time, now)
-             : upstream.IsUsable();
+bool Dispatcher::CanWaitUntil(const Service& service,
+                              const DispatchRequest& request,
+                              BootTime resumes_at,
+                              BootTime now) const {
+  // A caller that is refused comes back no sooner.
+  if (resumes_at <= now + kMinRetryAfter)
+    return true;
+  return resumes_at + MeanLatency(service, now) <=
+         request.arrived + request.latency_objective;
 }
 
 void Dispatcher::Tick(BootTime now) {
@@ -269,11 +255,8 @@
 
 nanoseconds Dispatcher::RetryAfter(const DispatchRequest& request,
                                    BootTime now) {
-  const nanoseconds wait =
-      ExpectedWait(services_[request.service], request, now);
-  const double jitter = 0.75 + 0.5 * Draw();
-  return std::clamp<nanoseconds>(FromCount(ToCount(wait) * jitter),
-                                 kMinRetryAfter, kMaxRetryAfter);
+  const Service& service = services_[request.service];
+  return RetryAfter(service, request, ExpectedWait(service, request, now), now);
 }
 
 std::map<std::string, ServiceLoad, std::less<>> Dispatcher::TakeLoad(
@@ -324,6 +307,9 @@
       !IsUsableFor(service, at->second, request, now) ||
       at->second.entry.started_at != row->owner.started_at)
     return {Choice::kNoOwner};
+  const BootTime resumes_at = at->second.estimate.requested_pause_until();
+  if (now < resumes_at)
+    return {Choice::kPaused, nullptr, resumes_at};
   const auto rejected = service.rejected_rows.find(row->keys.first);
   if (rejected != service.rejected_rows.end()) {
     if (now < rejected->second)
@@ -339,8 +325,12 @@
 Dispatcher::Decision Dispatcher::Decide(Service& service,
                                         const DispatchRequest& request,
                                         BootTime now) {
-  if (now < request.not_before)
+  if (now < request.not_before) {
+    const BootTime resumes_at = ResumesAt(service, request, now);
+    if (resumes_at > request.not_before)
+      return {Choice::kPaused, nullptr, resumes_at};
     return {Choice::kWait};
+  }
   if (service.owns_keys && request.key)
     return DecideByKey(service, request, now);
   Upstream* best = nullptr;
@@ -348,6 +338,7 @@
   bool any_usable = false;
   // The lowest expected latency within the region, with or without capacity.
   std::optional<nanoseconds> local_latency;
+  std::optional<BootTime> resumes_at;
   const bool skip_tried = request.tried.size() < service.upstreams.size();
   for (auto& [name, upstream] : service.upstreams) {
     if (!upstream.IsUsable())
@@ -356,6 +347,10 @@
     if (skip_tried &&
         std::ranges::find(request.tried, name) != request.tried.end())
       continue;
+    const BootTime upstream_resumes_at =
+        std::max(now, upstream.estimate.requested_pause_until());
+    if (!resumes_at || upstream_resumes_at < *resumes_at)
+      resumes_at = upstream_resumes_at;
     const nanoseconds latency = upstream.estimate.ExpectedLatency(now);
     const double success_rate =
         std::max(kMinSuccessRate, 1 - upstream.estimate.failure_share());
@@ -363,7 +358,8 @@
         1 + static_cast<double>(upstream.estimate.in_flight()) /
                 std::max<double>(upstream.entry.slots, 1);
     if (upstream.same_region && !upstream.estimate.IsEjected(now)) {
-      const nanoseconds time = FromCount(ToCount(latency) / success_rate);
+      const nanoseconds time = upstream_resumes_at - now +
+                               FromCount(ToCount(latency) / success_rate);
       if (!local_latency || time < *local_latency)
         local_latency = time;
     }
@@ -383,6 +379,8 @@
   }
   if (!any_usable)
     return {Choice::kNoUpstream};
+  if (best == nullptr && resumes_at && now < *resumes_at)
+    return {Choice::kPaused, nullptr, *resumes_at};
   if (best == nullptr)
     return {Choice::kWait};
   const bool local_suffices =
@@ -401,7 +399,8 @@
   switch (decision.choice) {
     case Choice::kSend:
       if (now >= request.deadline) {
-        Refuse(request, ErrorKind::kNotRunOverloaded, kMinRetryAfter);
+        Refuse(service, request, ErrorKind::kNotRunOverloaded, kMinRetryAfter,
+               now);
         return true;
       }
       if (listener_.DropIfAbandoned(request))
@@ -410,7 +409,8 @@
       listener_.OnSend(request, decision.upstream->entry);
       return true;
     case Choice::kNoUpstream:
-      Refuse(request, ErrorKind::kNotRunUnreachable, kNoUpstreamRetryAfter);
+      Refuse(service, request, ErrorKind::kNotRunUnreachable,
+             kNoUpstreamRetryAfter, now);
       return true;
     case Choice::kNoOwner: {
       const nanoseconds max_wait =
@@ -419,16 +419,23 @@
                              kOwnerWaitShare));
       if (now < request.arrived + max_wait)
         return false;
-      Refuse(request, ErrorKind::kNotRunNoOwner, kNoUpstreamRetryAfter);
+      Refuse(service, request, ErrorKind::kNotRunNoOwner, kNoUpstreamRetryAfter,
+             now);
       return true;
     }
+    case Choice::kPaused:
+      if (CanWaitUntil(service, request, decision.resumes_at, now))
+        break;
+      Refuse(service, request, ErrorKind::kNotRunOverloaded,
+             ExpectedWait(service, request, now), now);
+      return true;
     case Choice::kWait:
       break;
   }
   if (now + kDefaultLatency / 2 < request.deadline)
     return false;
-  Refuse(request, ErrorKind::kNotRunOverloaded,
-         ExpectedWait(service, request, now));
+  Refuse(service, request, ErrorKind::kNotRunOverloaded,
+         ExpectedWait(service, request, now), now);
   return true;
 }
 
@@ -466,11 +473,14 @@
   }
   for (const auto& [name, upstream] : service.upstreams) {
     if (upstream.IsUsable() && upstream.same_region &&
-        !upstream.estimate.IsEjected(now))
+        !upstream.estimate.IsEjected(now) &&
+        now >= upstream.estimate.requested_pause_until())
       capacity += upstream.estimate.limit();
   }
   ahead = service.queue.CountUrgent(request.priority);
-  return FromCount(ToCount(MeanLatency(service, now)) *
+  const nanoseconds pause = ResumesAt(service, request, now) - now;
+  return pause +
+         FromCount(ToCount(MeanLatency(service, now)) *
                    static_cast<double>(ahead) / std::max(1.0, capacity));
 }
 
@@ -487,13 +497,25 @@
   return count == 0 ? kDefaultLatency : FromCount(sum / count);
 }
 
-void Dispatcher::Refuse(const DispatchRequest& request,
+void Dispatcher::Refuse(const Service& service,
+                        const DispatchRequest& request,
                         ErrorKind kind,
-                        nanoseconds wait) {
-  const double jitter = 0.75 + 0.5 * Draw();
-  listener_.OnRefuse(request, kind,
-                     std::clamp<nanoseconds>(FromCount(ToCount(wait) * jitter),
-                                             kMinRetryAfter, kMaxRetryAfter));
+                        nanoseconds wait,
+                        BootTime now) {
+  listener_.OnRefuse(request, kind, RetryAfter(service, request, wait, now));
+}
+
+nanoseconds Dispatcher::RetryAfter(const Service& service,
+                                   const DispatchRequest& request,
+                                   nanoseconds wait,
+                                   BootTime now) {
+  const double jitter = Draw();
+  const auto retry_after =
+      std::clamp<nanoseconds>(FromCount(ToCount(wait) * (0.75 + 0.5 * jitter)),
+                              kMinRetryAfter, kMaxRetryAfter);
+  // Before the end of a requested pause, the caller would be refused again.
+  const nanoseconds pause = ResumesAt(service, request, now) - now;
+  return std::max(retry_after, FromCount(ToCount(pause) * (1 + 0.25 * jitter)));
 }
 
 }  // namespace pollenrudder
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -81,8 +81,19 @@
                           const ListedUpstream& upstream,
                           BootTime now);
 
+  // Called when a response of `upstream` states that it wants no requests of
+  // this instance for `pause`; as early as OnLeavingAnnounced().
+  void OnPauseRequested(const std::string& service,
+                        const ListedUpstream& upstream,
+                        std::chrono::nanoseconds pause,
+                        BootTime now);
+  // Returns whether the request would be refused, because the upstreams that
+  // may get it want no requests for longer than it can wait.
+  bool IsRefusedForPause(const DispatchRequest& request, BootTime now) const;
+
   // Returns whether the upstream to which a request is being sent may still get
-  // it. It may have begun to leave while the connection was opened.
+  // it. It may have begun to leave, or requested a pause, while the connection
+  // was opened.
   bool MaySendTo(const DispatchRequest& request,
                  const ListedUpstream& upstream,
                  BootTime now) const;
@@ -134,6 +145,11 @@
     std::chrono::milliseconds started_at{0};
     BootTime since{};
   };
+  // A pause that an incarnation requested.
+  struct Pause {
+    std::chrono::milliseconds started_at{0};
+    BootTime until{};
+  };
   struct Service {
     std::map<std::string, Upstream, std::less<>> upstreams;
     bool owns_keys = false;
@@ -149,17 +165,35 @@
     // By upstream name. Includes upstreams that are no longer listed, because
     // the list may name such an incarnation again.
     std::map<std::string, Departure, std::less<>> departures;
+    // The same for pauses that have not ended.
+    std::map<std::string, Pause, std::less<>> pauses;
   };
-  enum class Choice { kSend, kWait, kNoUpstream, kNoOwner };
+  enum class Choice { kSend, kWait, kPaused, kNoUpstream, kNoOwner };
   struct Decision {
     Choice choice = Choice::kWait;
     Upstream* upstream = nullptr;
+    // For kPaused: when the first of the pauses ends.
+    BootTime resumes_at{};
   };
 
   bool IsUsableFor(const Service& service,
                    const Upstream& upstream,
                    const DispatchRequest& request,
                    BootTime now) const;
+  // Returns the owner of the request's key if it is listed.
+  const Upstream* FindOwner(const Service& service,
+                            const DispatchRequest& request) const;
+  // Returns when the first of the upstreams that may get the request wants
+  // requests again; `now` if one does, or if there is none.
+  BootTime ResumesAt(const Service& service,
+                     const DispatchRequest& request,
+                     BootTime now) const;
+  // Returns whether a request that its upstreams want only from `resumes_at` on
+  // is queued until then rather than refused at once.
+  bool CanWaitUntil(const Service& service,
+                    const DispatchRequest& request,
+                    BootTime resumes_at,
+                    BootTime now) const;
   Decision Decide(Service& service,
                   const DispatchRequest& request,
                   BootTime now);
@@ -178,9 +212,17 @@
                                         BootTime now) const;
   std::chrono::nanoseconds MeanLatency(const Service& service,
                                        BootTime now) const;
-  void Refuse(const DispatchRequest& request,
+  void Refuse(const Service& service,
+              const DispatchRequest& request,
               ErrorKind kind,
-              std::chrono::nanoseconds wait);
+              std::chrono::nanoseconds wait,
+              BootTime now);
+  // Returns the time after which the caller of a refused request may come back.
+  // Varies, so that callers who are refused together come back one by one.
+  std::chrono::nanoseconds RetryAfter(const Service& service,
+                                      const DispatchRequest& request,
+                                      std::chrono::nanoseconds wait,
+                                      BootTime now);
   double Draw() { return draw_(random_); }
 
   const Options options_;
--- /dev/null
+++ b/packages/dispatch/dispatcher_notices.cc
@@ -0,0 +1,102 @@
+// Dispatcher: what upstreams state about themselves in their responses.
+
+#include <algorithm>
+#include <optional>
+
+#include "dispatch/dispatcher.h"
+
+namespace pollenrudder {
+
+using std::chrono::nanoseconds;
+
+bool Dispatcher::OnLeavingAnnounced(const std::string& service_name,
+                                    const ListedUpstream& upstream,
+                                    BootTime now) {
+  const auto service = services_.find(service_name);
+  if (service == services_.end())
+    return false;
+  auto& departures = service->second.departures;
+  const auto known = departures.find(upstream.name);
+  // A response of an earlier incarnation may arrive after one of its successor.
+  if (known != departures.end() &&
+      known->second.started_at >= upstream.started_at)
+    return false;
+  departures[upstream.name] = {upstream.started_at, now};
+  const auto at = service->second.upstreams.find(upstream.name);
+  if (at != service->second.upstreams.end() &&
+      at->second.entry.started_at == upstream.started_at)
+    at->second.leaving_since = now;
+  return true;
+}
+
+void Dispatcher::OnPauseRequested(const std::string& service_name,
+                                  const ListedUpstream& upstream,
+                                  nanoseconds pause,
+                                  BootTime now) {
+  const auto service = services_.find(service_name);
+  if (service == services_.end())
+    return;
+  Pause& known = service->second.pauses[upstream.name];
+  if (known.started_at > upstream.started_at)
+    return;
+  if (known.started_at != upstream.started_at)
+    known = {upstream.started_at, {}};
+  known.until = std::max(known.until, now + pause);
+  const auto at = service->second.upstreams.find(upstream.name);
+  if (at != service->second.upstreams.end() &&
+      at->second.entry.started_at == upstream.started_at)
+    at->second.estimate.OnPauseRequested(known.until);
+}
+
+bool Dispatcher::MaySendTo(const DispatchRequest& request,
+                           const ListedUpstream& upstream,
+                           BootTime now) const {
+  const auto service = services_.find(request.service);
+  if (service == services_.end())
+    return false;
+  const auto at = service->second.upstreams.find(upstream.name);
+  return at != service->second.upstreams.end() &&
+         at->second.entry.SameIncarnation(upstream) &&
+         now >= at->second.estimate.requested_pause_until() &&
+         IsUsableFor(service->second, at->second, request, now);
+}
+
+bool Dispatcher::IsUsableFor(const Service& service,
+                             const Upstream& upstream,
+                             const DispatchRequest& request,
+                             BootTime now) const {
+  return service.owns_keys && request.key
+             ? upstream.IsUsableAsOwner(options_.leaving_owner_time, now)
+             : upstream.IsUsable();
+}
+
+const Dispatcher::Upstream* Dispatcher::FindOwner(
+    const Service& service,
+    const DispatchRequest& request) const {
+  const KeyAssignment* row =
+      service.keys == nullptr ? nullptr : service.keys->Find(*request.key);
+  const auto at = row == nullptr ? service.upstreams.end()
+                                 : service.upstreams.find(row->owner.name);
+  return at == service.upstreams.end() ? nullptr : &at->second;
+}
+
+BootTime Dispatcher::ResumesAt(const Service& service,
+                               const DispatchRequest& request,
+                               BootTime now) const {
+  if (service.owns_keys && request.key) {
+    const Upstream* owner = FindOwner(service, request);
+    return owner == nullptr
+               ? now
+               : std::max(now, owner->estimate.requested_pause_until());
+  }
+  std::optional<BootTime> first;
+  for (const auto& [name, upstream] : service.upstreams) {
+    if (!upstream.IsUsable())
+      continue;
+    const BootTime until = upstream.estimate.requested_pause_until();
+    first = first ? std::min(*first, until) : until;
+  }
+  return std::max(now, first.value_or(now));
+}
+
+}  // namespace pollenrudder
--- a/packages/dispatch/dispatcher_test.cc
+++ b/packages/dispatch/dispatcher_test.cc
@@ -4,120 +4,22 @@
 
 #include <algorithm>
 #include <deque>
-#include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "dispatch/dispatcher_fixture_test.h"
+
 namespace pollenrudder {
 namespace {
 
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-BootTime At(milliseconds time) {
-  return BootTime(100s + time);
-}
-
-// Records the decisions.
-class Recorder : public DispatchListener {
- public:
-  struct Refusal {
-    std::uint64_t id;
-    ErrorKind kind;
-    std::chrono::nanoseconds retry_after;
-  };
-
-  void OnSend(const DispatchRequest& request,
-              const ListedUpstream& upstream) override {
-    sent.emplace_back(request.id, upstream.name);
-  }
-  bool DropIfAbandoned(const DispatchRequest& request) override {
-    return abandoned.contains(request.id);
-  }
-  void OnRefuse(const DispatchRequest& request,
-                ErrorKind kind,
-                std::chrono::nanoseconds retry_after) override {
-    refused.push_back({request.id, kind, retry_after});
-  }
-
-  int CountTo(const std::string& upstream) const {
-    return static_cast<int>(std::ranges::count_if(
-        sent, [&](const auto& entry) { return entry.second == upstream; }));
-  }
-
-  std::vector<std::pair<std::uint64_t, std::string>> sent;
-  std::vector<Refusal> refused;
-  // The requests whose callers have gone.
-  std::set<std::uint64_t> abandoned;
-};
-
-struct Fixture {
-  explicit Fixture(const std::string& zone = "a1")
-      : dispatcher({zone,
-                    {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}},
-                    /*seed=*/1},
-                   recorder) {
-    configuration.services["soil"].max_connections = 100;
-  }
-
-  void Add(const std::string& name,
-           const std::string& zone,
-           std::uint32_t slots = 2) {
-    ListedUpstream entry;
-    entry.name = name;
-    entry.service = "soil";
-    entry.zone = zone;
-    entry.slots = slots;
-    entry.started_at = 1ms;
-    fleet.Apply({name, entry}, At(0ms));
-    dispatcher.SetFleet(fleet, configuration, 4, At(0ms));
-  }
-
-  KeyTable AddOwnerOfAllKeys(const std::string& name) {
-    configuration.services["soil"].owns_keys = true;
-    Add(name, "a1", 8);
-    KeyAssignment row;
-    row.owner = {name, 1ms};
-    KeyTable table;
-    table.Assign(row);
-    return table;
-  }
-
-  DispatchRequest Request(std::uint64_t id,
-                          BootTime now,
-                          std::uint32_t priority = 1) const {
-    DispatchRequest request;
-    request.id = id;
-    request.service = "soil";
-    request.priority = priority;
-    request.arrived = now;
-    request.latency_objective = 300ms;
-    request.deadline = now + 1000ms;
-    return request;
-  }
-
-  void End(const std::string& upstream,
-           AttemptResult result,
-           milliseconds elapsed,
-           BootTime now) {
-    DispatchRequest request;
-    request.service = "soil";
-    request.latency_objective = 300ms;
-    dispatcher.OnEnded(request, upstream, result, elapsed, now);
-  }
-
-  Recorder recorder;
-  Fleet fleet;
-  RouterConfiguration configuration;
-  Dispatcher dispatcher;
-};
-
 // Load pattern: steady traffic. Traffic between regions is billed.
 TEST_CASE("Dispatcher stays in its region while that has capacity") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("near", "a1", 4);
   fixture.Add("beside", "a2", 4);
   fixture.Add("far", "b1", 4);
@@ -131,7 +33,7 @@
 // Load pattern: loss of the upstreams in the availability zone. Waiting for the
 // others would use up the latency objective.
 TEST_CASE("Dispatcher leaves its region when responses there would be late") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("near", "a1");
   fixture.Add("far", "b1");
   for (std::uint64_t id = 1; id <= 3; ++id)
@@ -146,7 +48,7 @@
 // refused at once, with a retry time; the others are not refused.
 TEST_CASE(
     "Dispatcher refuses at once requests that cannot be answered in time") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("only", "a1", 2);
   for (std::uint64_t id = 1; id <= 200; ++id)
     fixture.dispatcher.Submit(fixture.Request(id, At(0ms)), At(0ms));
@@ -161,7 +63,7 @@
 
 // Load pattern: burst with urgent requests behind others.
 TEST_CASE("Dispatcher serves the more urgent request first") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("only", "a1", 2);
   for (std::uint64_t id = 1; id <= 6; ++id)
     fixture.dispatcher.Submit(fixture.Request(id, At(0ms), 2), At(0ms));
@@ -174,7 +76,7 @@
 // Load pattern: recovery after an overload. A request whose response would be
 // late does not delay one that can still meet its objective.
 TEST_CASE("Dispatcher prefers requests that can meet their objective") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("only", "a1", 1);
   fixture.dispatcher.Submit(fixture.Request(1, At(0ms)), At(0ms));
   fixture.dispatcher.Submit(fixture.Request(2, At(0ms)), At(0ms));
@@ -187,7 +89,7 @@
 // Load pattern: upstreams of different speed. Equal shares would overload the
 // slow one.
 TEST_CASE("Dispatcher distributes requests by measured latency") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("quick", "a1", 2);
   fixture.Add("slow", "a1", 2);
   struct Open {
@@ -226,7 +128,7 @@
 // Load pattern: an upstream that rejects part of its requests although its
 // health check succeeds.
 TEST_CASE("Dispatcher avoids an upstream that rejects requests") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("grey", "a1", 4);
   fixture.Add("sound", "a1", 4);
   std::size_t seen = 0;
@@ -248,7 +150,7 @@
 // Load pattern: release of a new version. A leaving upstream gets no new
 // requests.
 TEST_CASE("Dispatcher sends nothing to a leaving upstream") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("stays", "a1", 2);
   fixture.Add("leaves", "a1", 2);
   ListedUpstream entry = *fixture.fleet.Find("leaves");
@@ -264,7 +166,7 @@
 // says that it is ready, for example while the store is away, and against a
 // list that brings it back.
 TEST_CASE("Dispatcher sends nothing to an upstream that answered as leaving") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("stays", "a1", 1);
   fixture.Add("leaves", "a1", 1);
   for (std::uint64_t id = 1; id <= 4; ++id)
@@ -315,7 +217,7 @@
 // until they are moved, and against requests to it after that.
 TEST_CASE(
     "Dispatcher uses an owner that answered as leaving for a short time") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   const KeyTable table = fixture.AddOwnerOfAllKeys("old");
   fixture.Add("new", "a1", 2);
   fixture.dispatcher.SetKeyTable("soil", &table, At(0ms));
@@ -366,7 +268,7 @@
 // Load pattern: moves of hot keys. Requests are queued while their key moves,
 // and then go to the new owner.
 TEST_CASE("Dispatcher queues requests while their key moves") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.configuration.services["soil"].owns_keys = true;
   fixture.Add("old", "a1", 2);
   fixture.Add("new", "a1", 2);
@@ -392,7 +294,7 @@
 // Load pattern: addresses that are reused by other services. Only one request
 // may reach the new upstream.
 TEST_CASE("Dispatcher stops using an upstream whose address was reused") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("gone", "a1", 2);
   fixture.Add("stays", "a1", 2);
   std::size_t seen = 0;
@@ -415,7 +317,7 @@
 // The grant leader must learn of such an upstream, but not of one that was
 // listed after the request was sent.
 TEST_CASE("Dispatcher reports an upstream whose address was reused") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   const KeyTable table = fixture.AddOwnerOfAllKeys("gone");
   fixture.dispatcher.SetKeyTable("soil", &table, At(0ms));
   DispatchRequest request = fixture.Request(1, At(10ms));
@@ -442,7 +344,7 @@
 // spent on an outdated owner.
 TEST_CASE(
     "Dispatcher sends one request at a time to an owner that rejected one") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   const KeyTable table = fixture.AddOwnerOfAllKeys("old");
   fixture.dispatcher.SetKeyTable("soil", &table, At(0ms));
   DispatchRequest request = fixture.Request(1, At(0ms));
@@ -462,7 +364,7 @@
 
 // Guards against callers that wait in vain for a service without upstreams.
 TEST_CASE("Dispatcher refuses at once without any upstream") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.dispatcher.SetFleet(fixture.fleet, fixture.configuration, 4, At(0ms));
   fixture.dispatcher.Submit(fixture.Request(1, At(0ms)), At(0ms));
   REQUIRE(fixture.recorder.refused.size() == 1);
@@ -471,7 +373,7 @@
 
 // Load pattern: callers that disconnect. Their requests leave the queue.
 TEST_CASE("Dispatcher removes a canceled request from the queue") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("only", "a1", 1);
   fixture.dispatcher.Submit(fixture.Request(1, At(0ms)), At(0ms));
   fixture.dispatcher.Submit(fixture.Request(2, At(0ms)), At(0ms));
@@ -485,7 +387,7 @@
 // processor time sent requests on 5 s after their callers had left
 // (cumbre-chalet-grown fresh-07a9, lochmoor-heatcalc-large trouble-1).
 TEST_CASE("Dispatcher drops a request whose caller has gone or that is late") {
-  Fixture fixture;
+  DispatcherFixture fixture;
   fixture.Add("u-1", "a1", 1);
   fixture.recorder.abandoned = {1, 3};
   fixture.dispatcher.Submit(fixture.Request(1, At(0ms)), At(0ms));
--- a/packages/dispatch/upstream_estimate.cc
+++ b/packages/dispatch/upstream_estimate.cc
@@ -97,8 +97,14 @@
       now + std::min<std::chrono::milliseconds>(ejection, kMaxEjection);
 }
 
+void UpstreamEstimate::OnPauseRequested(BootTime until) {
+  requested_pause_until_ = std::max(requested_pause_until_, until);
+  // All requests that wait for the end of the pause must not be sent at once.
+  limit_ = std::min(limit_, 1.0);
+}
+
 bool UpstreamEstimate::HasCapacity(BootTime now) const {
-  if (IsEjected(now) || now < paused_until_)
+  if (IsEjected(now) || now < paused_until())
     return false;
   if (consecutive_failures_ > 1)
     return in_flight_ == 0;
--- a/packages/dispatch/upstream_estimate.h
+++ b/packages/dispatch/upstream_estimate.h
@@ -4,6 +4,7 @@
 #ifndef POLLENRUDDER_DISPATCH_UPSTREAM_ESTIMATE_H_
 #define POLLENRUDDER_DISPATCH_UPSTREAM_ESTIMATE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -42,6 +43,10 @@
                std::chrono::nanoseconds latency_objective,
                BootTime now);
 
+  // The upstream wants no requests before `until`. After that, requests are
+  // sent one at a time until the limit has grown again.
+  void OnPauseRequested(BootTime until);
+
   // Returns whether one more request may be sent now. After consecutive
   // failures, the upstream gets no requests while it is ejected, and then one
   // at a time.
@@ -49,8 +54,12 @@
   // Returns whether the upstream is ejected because it seems to be down.
   bool IsEjected(BootTime now) const { return now < ejected_until_; }
   // Returns the earliest time at which the next request may be sent because of
-  // the pause between requests; HasCapacity() includes it.
-  BootTime paused_until() const { return paused_until_; }
+  // a pause between requests, or one that the upstream requested; HasCapacity()
+  // includes both.
+  BootTime paused_until() const {
+    return std::max(paused_until_, requested_pause_until_);
+  }
+  BootTime requested_pause_until() const { return requested_pause_until_; }
   // Returns the expected time between two requests.
   std::chrono::nanoseconds ExpectedInterval(BootTime now) const;
   // Returns the expected latency of one more request.
@@ -80,6 +89,7 @@
   BootTime last_response_{};
   BootTime last_shrink_{};
   BootTime paused_until_{};
+  BootTime requested_pause_until_{};
   BootTime cold_until_{};
 };
 
--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -86,6 +86,10 @@
 // from this instance.
 inline constexpr LogEvent kLeavingAnnounced{9031, "upstream_leaving_announced",
                                             LogLevel::kInfo};
+// An upstream rejected a request and requested a pause, in which it gets no
+// requests from this instance.
+inline constexpr LogEvent kPauseRequested{9032, "upstream_pause_requested",
+                                          LogLevel::kInfo};
 
 // The grant log was replaced by an earlier copy of itself.
 inline constexpr LogEvent kGrantLogReplaced{9025, "grant_log_replaced",
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -384,6 +384,15 @@
                                    {"listed_leaving", upstream.leaving}};
     });
   }
+  if (!notice.pause)
+    return;
+  dispatcher_.OnPauseRequested(service, upstream, *notice.pause, now);
+  metrics_.Count("entry_pauses_requested_total", "service=\"" + service + '"');
+  EventLog::WriteLazily(kPauseRequested, [&] {
+    return std::vector<LogField>{{"upstream", upstream.name},
+                                 {"service", service},
+                                 {"pause_ms", Milliseconds(*notice.pause)}};
+  });
 }
 
 bool Forwarder::TryConsumeRetry(ActiveRequest& request,
@@ -406,6 +415,8 @@
     return false;
   if (has_single_owner && request.dispatch.tried.size() > request.max_attempts)
     return false;
+  if (dispatcher_.IsRefusedForPause(request.dispatch, now))
+    return false;
   // The attempt did not reach an upstream, so the next one needs no retry
   // budget.
   if (result == AttemptResult::kUnreachable ||
