Take over an append without an answer when the log is replaced

Two upstreams with the same keys after a restoration.

Cause: a leader whose append had no answer when it lost the store continues without it. The append may have been executed on the lost part of the log, where another leader read it and carries out its moves, or moves on the keys of a move that it ended. The owners had confirmed the rows as they were before.

"GrantCoordinator grants no key that an unknown append moved" and "GrantCoordinator confirms rows whose move an unknown append ended" fail without the call of AdoptUnknownAppend().

Change: the leader takes over the rows of such an append. Rows that it moves wait until every grant of earlier leaders has expired; rows whose move it ends are confirmed like all others.

A relay that reads a new log no longer announces differences from tables of a former epoch.

--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -51,6 +51,7 @@
   log_was_read_ = true;
   needs_log_ = false;
   misses_update_ = false;
+  unknown_append_.reset();
   if (is_leader_)
     term_confirmed_at_ = std::max(term_confirmed_at_, sent_at);
 }
@@ -400,6 +401,7 @@
   term_confirmed_at_ = {};
   changes_allowed_from_ = {};
   unknown_grants_until_ = {};
+  unknown_append_.reset();
   calls_.clear();
   updates_.clear();
   for (auto& [service, state] : services_) {
@@ -428,6 +430,8 @@
       term_confirmed_at_ = std::max(term_confirmed_at_, sent_at);
     return;
   }
+  if (result == LogAppendResult::kUnknown && is_leader_)
+    unknown_append_ = append;
   next_append_ = now + kAppendRetryDelay;
   needs_log_ = result != LogAppendResult::kRejected;
 }
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -265,14 +265,15 @@
                  const GrantTermRecord& term,
                  BootTime now);
   void ApplyTable(std::uint64_t offset, const TableRecord& record);
-  // Returns whether no upstream but the owner of a moving row can still use its
-  // keys.
   // The records are those of a later epoch than next_offset().
   void OnReplacedLog(const std::vector<LogEntry>& records,
                      std::uint64_t end,
                      BootTime now);
   // Keeps the state of this leader while the new log has no term.
   void KeepStateOfLostLog(BootTime now);
+  // Takes over the rows of an append that may have been on the lost part of the
+  // log. Those that it moves get no owner before `until`.
+  void AdoptUnknownAppend(BootTime until);
   // Starts to follow the new log, which has a term.
   void FollowReplacedLog(std::uint64_t offset);
   // This leader continues in the new log, where its term begins at `offset`.
@@ -294,6 +295,8 @@
   bool AwaitsConfirmation(const std::string& service,
                           const ServiceState& state,
                           BootTime now) const;
+  // Returns whether no upstream but the owner of a moving row can still use its
+  // keys.
   static bool HaveOtherGrantsEnded(const RowState& row, BootTime now);
   static void CarryExpiries(const RowState& old, RowState& next);
   // Builds the row states for `table`, keeping the state of rows that overlap
@@ -398,6 +401,9 @@
   // The services whose newest table record cannot be decoded; `tables_` has an
   // earlier table, if any.
   std::set<std::string, std::less<>> unreadable_tables_;
+  // These and the sets below differ in what a table is compared with: the
+  // record cannot be decoded, is on the log at all, or is known to the leader.
+  //
   // The services with a table record in the present epoch of the log. Used in
   // later epochs than the first: there, a table without a record is unknown,
   // and `tables_` has an earlier one, if any.
@@ -447,6 +453,9 @@
   BootTime confirm_until_{};
   // The append whose outcome is not known yet.
   std::optional<LogAppend> append_;
+  // An append of this leader that may have been executed, until the log is
+  // read.
+  std::optional<LogAppend> unknown_append_;
   BootTime next_append_{};
   BootTime next_table_change_{};
   std::uint64_t next_call_id_ = 1;
--- a/packages/grants/grant_coordinator_replaced_log.cc
+++ b/packages/grants/grant_coordinator_replaced_log.cc
@@ -1,6 +1,7 @@
 // GrantCoordinator: a log that was replaced by an earlier copy of itself.
 
 #include <algorithm>
+#include <variant>
 
 #include "base/log_position.h"
 #include "grants/grant_coordinator.h"
@@ -31,6 +32,9 @@
     ApplyRecord(entry.offset, entry.record, now);
   next_offset_ = std::max(next_offset_, end);
   log_was_read_ = true;
+  // The others cannot apply differences from tables of a former epoch.
+  if (!is_leader_)
+    updates_.clear();
 }
 
 void GrantCoordinator::KeepStateOfLostLog(BootTime now) {
@@ -52,6 +56,7 @@
   changes_allowed_from_ = std::max(changes_allowed_from_, calls_end);
   unknown_grants_until_ =
       std::max(unknown_grants_until_, AllGrantsEnd(calls_end));
+  AdoptUnknownAppend(unknown_grants_until_);
   for (auto& [service, state] : services_) {
     // After the lease, another leader could also have granted keys without an
     // owner.
@@ -63,8 +68,10 @@
     }
     for (RowState& row : state.rows) {
       row.grant_accepted = false;
-      // Within the lease, no other leader could change rows that move.
-      if (row.row.moving && IsActive(now)) {
+      // Within the lease, no other leader could change rows that move, unless
+      // the log may have had the end of the move.
+      if (row.row.moving && IsActive(now) &&
+          row.unrecorded_owner_until < unknown_grants_until_) {
         row.former_confirmed = true;
         continue;
       }
@@ -79,6 +86,30 @@
   }
 }
 
+void GrantCoordinator::AdoptUnknownAppend(BootTime until) {
+  const std::optional<LogAppend> append = append_ ? append_ : unknown_append_;
+  unknown_append_.reset();
+  if (!append)
+    return;
+  for (const GrantLogRecord& encoded : append->records) {
+    const auto parsed = ParseGrantLogRecord(encoded);
+    const auto* record =
+        parsed ? std::get_if<TableRecord>(&parsed.value()) : nullptr;
+    if (record == nullptr)
+      continue;
+    ServiceState& state = services_[record->service];
+    UpdateRowStates(state, record->table);
+    // A leader that read the append moves these keys; one that did not may
+    // leave them where they were. Rows that are not new have a token from
+    // before.
+    for (RowState& row : state.rows) {
+      if (row.row.moving && row.row.token >= append->at)
+        row.unrecorded_owner_until =
+            std::max(row.unrecorded_owner_until, until);
+    }
+  }
+}
+
 void GrantCoordinator::FollowReplacedLog(std::uint64_t offset) {
   next_offset_ = offset;
   last_change_offset_ = offset;
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -372,8 +372,7 @@
                                                     ServiceState& state,
                                                     std::uint64_t token,
                                                     BootTime now) {
-  KeyTable& known = tables_[service];
-  KeyTable table = known;
+  const KeyTable& known = tables_[service];
   bool changed = false;
   if (IsUnknownToLeader(service) ? now < unknown_grants_until_
                                  : AwaitsConfirmation(service, state, now))
@@ -381,6 +380,14 @@
   // The other instances cannot decode the present record, or it is on a log
   // that was replaced.
   const bool is_unrecorded = IsTableUnknown(service);
+  KeyTable table = known;
+  if (is_unrecorded) {
+    // May include the rows of an append whose outcome was not known.
+    std::vector<KeyAssignment> rows;
+    for (const RowState& row : state.rows)
+      rows.push_back(row.row);
+    table = KeyTable(std::move(rows));
+  }
   // Completes the moves of rows whose owner has accepted a grant.
   for (const RowState& row : state.rows) {
     if (row.row.moving && row.grant_accepted) {
--- a/packages/grants/replaced_log_test.cc
+++ b/packages/grants/replaced_log_test.cc
@@ -4,6 +4,7 @@
 #include "grants/grant_coordinator.h"
 
 #include <algorithm>
+#include <variant>
 
 #include <catch2/catch.hpp>
 
@@ -27,11 +28,13 @@
   return BootTime(100s + time);
 }
 
-GrantCoordinator MakeCoordinator(const std::string& instance) {
-  GrantCoordinator::Options options;
-  options.instance = instance;
-  options.incarnation = instance + "-life";
-  GrantCoordinator coordinator(options);
+RouterConfiguration MakeConfiguration() {
+  RouterConfiguration configuration;
+  configuration.services[kService].owns_keys = true;
+  return configuration;
+}
+
+Fleet MakeFleet() {
   Fleet fleet;
   for (int index = 0; index < 3; ++index) {
     ListedUpstream entry;
@@ -42,9 +45,15 @@
     entry.started_at = 1ms;
     fleet.Apply({entry.name, entry}, At(0ms));
   }
-  RouterConfiguration configuration;
-  configuration.services[kService].owns_keys = true;
-  coordinator.OnFleet(fleet, configuration, At(0ms));
+  return fleet;
+}
+
+GrantCoordinator MakeCoordinator(const std::string& instance) {
+  GrantCoordinator::Options options;
+  options.instance = instance;
+  options.incarnation = instance + "-life";
+  GrantCoordinator coordinator(options);
+  coordinator.OnFleet(MakeFleet(), MakeConfiguration(), At(0ms));
   return coordinator;
 }
 
@@ -160,6 +169,84 @@
   }));
 }
 
+// Guards against two owners: an append without an answer may have been on the
+// lost part of the log, where another leader carries out its moves.
+TEST_CASE("GrantCoordinator grants no key that an unknown append moved") {
+  GrantCoordinator coordinator = MakeLeader();
+  const KeyTable table = coordinator.tables().at(kService);
+  Fleet fleet = MakeFleet();
+  ListedUpstream leaving = *fleet.Find("u0");
+  leaving.leaving = true;
+  fleet.Apply({"u0", leaving}, At(kReplaced));
+  coordinator.OnFleet(fleet, MakeConfiguration(), At(kReplaced));
+  GrantActions actions;
+  for (auto time = kReplaced; !actions.append && time < kReplaced + 200ms;
+       time += 20ms)
+    actions = coordinator.Poll(At(time));
+  REQUIRE(actions.append);
+  SECTION("that ended without an answer") {
+    coordinator.OnAppendEnded(LogAppendResult::kUnknown, At(kReplaced),
+                              At(kReplaced));
+  }
+  SECTION("that has not ended") {}
+  coordinator.OnNewestRecords({}, kNewEnd, At(kReplaced));
+  coordinator.OnAppendEnded(LogAppendResult::kUnknown, At(kReplaced),
+                            At(kReplaced));
+  const Calls calls =
+      Run(coordinator, kReplaced, kReplaced + kAllGrantsEnd - 100ms);
+  for (const KeyCall& call : calls.grants) {
+    if (call.kind == KeyCall::Kind::kGrant)
+      CHECK(table.Find(call.keys.first)->owner.name != "u0");
+  }
+  const Calls later = Run(coordinator, kReplaced + kAllGrantsEnd,
+                          kReplaced + kAllGrantsEnd + 1s);
+  CHECK(std::ranges::any_of(later.grants, [&](const KeyCall& call) {
+    return call.kind == KeyCall::Kind::kGrant &&
+           table.Find(call.keys.first)->owner.name == "u0";
+  }));
+}
+
+// Guards against two owners: another leader has read the end of a move, whose
+// append this leader did not get an answer to, and has moved the keys on.
+TEST_CASE("GrantCoordinator confirms rows whose move an unknown append ended") {
+  GrantCoordinator coordinator = MakeCoordinator("front-1");
+  coordinator.OnLogRecords({}, 0, At(0ms), At(0ms));
+  coordinator.OnPreferredLeader(true, At(1ms), At(1ms));
+  bool has_ended_moves = false;
+  milliseconds time{20};
+  for (; !has_ended_moves && time < kReplaced; time += 20ms) {
+    const GrantActions actions = coordinator.Poll(At(time));
+    for (const KeyCall& call : actions.calls)
+      coordinator.OnCallEnded(call.id, KeyCallResult::kDone, "", At(time));
+    if (!actions.append)
+      continue;
+    const auto parsed = ParseGrantLogRecord(actions.append->records.back());
+    REQUIRE(parsed);
+    const auto* record = std::get_if<TableRecord>(&parsed.value());
+    has_ended_moves =
+        record != nullptr &&
+        std::ranges::none_of(record->table.rows(), &KeyAssignment::moving);
+    coordinator.OnAppendEnded(
+        has_ended_moves ? LogAppendResult::kUnknown : LogAppendResult::kDone,
+        At(time), At(time));
+  }
+  REQUIRE(has_ended_moves);
+  const KeyTable table = coordinator.tables().at(kService);
+  coordinator.OnNewestRecords({}, kNewEnd, At(time));
+  const std::uint64_t other_token = MakeLogPosition(0, 1000);
+  const Calls calls =
+      Run(coordinator, time, time + kAllGrantsEnd - 100ms, other_token);
+  bool renewed = false;
+  for (const KeyCall& call : calls.grants) {
+    if (call.kind != KeyCall::Kind::kGrant ||
+        table.Find(call.keys.first)->owner.name != "u0")
+      continue;
+    renewed = true;
+    CHECK(call.token < other_token);
+  }
+  CHECK(renewed);
+}
+
 // Guards against two owners: what is left of the log names earlier owners, and
 // an instance that was not the leader does not know the last ones.
 TEST_CASE("GrantCoordinator without a lease knows no table of a new log") {
