--- a/packages/grants/grant_coordinator_replaced_log.cc
+++ b/packages/grants/grant_coordinator_replaced_log.cc
@@ -45,8 +45,8 @@
   // its calls end within a lease from now. Until then, its calls move keys only
   // of owners that have seen its token: others keep their grants for longer. A
   // resignation of this leader may have been on that part, too.
-  const BootTime known_until = AllGrantsEnd(term_confirmed_at_);
-  if (now >= known_until || stopping_ || transferring_) {
+  const BootTime state_usable_until = AllGrantsEnd(term_confirmed_at_);
+  if (now >= state_usable_until || stopping_ || transferring_) {
     ClearLeaderState();
     return;
   }
