--- a/review/1/case.py
+++ b/review/1/case.py
@@ -125,7 +125,7 @@
         print(f"{len(answers)} requests, "
               f"{sum(t.copies for t in targets)} late copies")
     finally:
-        router.stop()
+        await router.stop()
         for target in targets:
             await target.stop()
         await store.stop()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -151,7 +151,7 @@
         for task in tasks:
             task.cancel()
         for router in routers:
-            router.stop()
+            await router.stop()
         for target in targets:
             await target.stop()
         await store.stop()
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -24,6 +24,8 @@
 HEARTBEAT_S = 0.87
 KEY_COUNT = 65536
 STARTED = time.monotonic()
+# Errors of the stand-ins themselves, which void the run.
+FAULTS = []
 
 
 class CannotRun(Exception):
@@ -42,25 +44,14 @@
         self.file.flush()
 
 
-def free_ports(count):
-    """Returns `count` ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
-    return ports
-
-
 TAKEN_RANGES = set()
 
 
 def free_port_range(count):
     """Returns the first of `count` consecutive ports, free for TCP and UDP."""
-    for first in range(21000, 29000, count):
+    start = os.getpid() * count
+    for offset in range(0, 8000, count):
+        first = 21000 + (start + offset) % 8000
         if first in TAKEN_RANGES:
             continue
         sockets = []
@@ -136,6 +127,9 @@
                 await self.handle(connection, *message)
         except (ConnectionError, asyncio.CancelledError):
             pass
+        except Exception as error:
+            FAULTS.append(f"{type(self).__name__}: {error!r}")
+            raise
         finally:
             self.tasks.discard(asyncio.current_task())
             with contextlib.suppress(RuntimeError):
@@ -362,8 +356,9 @@
 
     def __init__(self, name, store, folder, record, zone="falkirk-a"):
         self.name, self.record, self.process = name, record, None
-        ready, frontend, control = free_ports(3)
-        internal = free_port_range(16)
+        # Below the ports that the system gives to other sockets.
+        internal = free_port_range(20)
+        frontend, ready, control = internal + 16, internal + 17, internal + 18
         self.frontend, self.ready, self.internal = frontend, ready, internal
         self.settings = os.path.join(folder, f"{name}.yaml")
         self.log = os.path.join(folder, f"{name}.log")
@@ -459,9 +454,11 @@
     def ended(self):
         return self.process is None or self.process.returncode is not None
 
-    def stop(self):
+    async def stop(self):
         if not self.ended():
             self.process.kill()
+        if self.process is not None:
+            await self.process.wait()
 
     async def is_ready(self, timeout_s=1.0):
         """Asks as the platform does: 200 within a second."""
@@ -548,6 +545,8 @@
         with tempfile.TemporaryDirectory() as folder:
             broken = asyncio.run(
                 asyncio.wait_for(play(record, folder, trouble), 110))
+        if FAULTS:
+            raise CannotRun(FAULTS[0])
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         record.line("cannot-run", reason=repr(error))
         print(f"could not run: {error!r}")
