--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,8 +15,11 @@
 import deployment as d  # noqa: E402
 
 # The dose of `garble` in the site file is 2 in 100 answers of 35 in 100
-# targets for 5.5 s. Here it is one answer, after GOOD_ANSWERS good ones.
-GOOD_ANSWERS = 60
+# targets for 5.5 s. Here two of six targets are faulty and spoil one answer
+# together, after GOOD_ANSWERS good ones of the same target.
+GOOD_ANSWERS = 50
+TROUBLE_S = 5.5
+CLIENTS = 4
 WATCH_S = 15.0
 GRACE_PERIOD_S = 6.0
 FIELDS = [("Connection", "X-Trace"), ("X-Trace", "")]
@@ -26,19 +29,20 @@
     """Spoils one answer once it is told to."""
 
     spoil_after = None
-    router_of_answer = None
+    spoiled = False
 
     def answer_headers(self, request_id):
         headers = super().answer_headers(request_id)
-        if self.spoil_after is not None and self.answers >= self.spoil_after:
-            self.spoil_after = None
+        if (self.spoil_after is not None and not Faulty.spoiled and
+                self.answers >= self.spoil_after):
+            Faulty.spoiled = True
             self.record.line("target-spoils-answer", target=self.name,
                              id=request_id)
             headers += FIELDS
         return headers
 
 
-async def processor_time(router):
+def processor_time(router):
     with open(f"/proc/{router.process.pid}/stat", encoding="utf-8") as file:
         fields = file.read().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
@@ -109,7 +113,7 @@
             tasks.append(asyncio.ensure_future(
                 probe(router, misses[router.name])))
             tasks += [asyncio.ensure_future(use(router, number))
-                      for number in range(2)]
+                      for number in range(CLIENTS)]
         await asyncio.sleep(3)
         if not all(c["answered"] > 20 for c in counts.values()):
             raise d.CannotRun("requests are not served before the trouble")
@@ -118,17 +122,20 @@
             next_fields.update(FIELDS)
         elif trouble:
             record.line("trouble-begins", kind="garble")
-            targets[0].spoil_after = targets[0].answers + GOOD_ANSWERS
-        await asyncio.sleep(5)
+            for target in targets[:2]:
+                target.spoil_after = target.answers + GOOD_ANSWERS
+        await asyncio.sleep(TROUBLE_S)
+        if trouble and not from_client and not Faulty.spoiled:
+            raise d.CannotRun("the faulty targets got too few requests")
         before = {name: dict(count) for name, count in counts.items()}
-        used = {r.name: await processor_time(r) for r in routers}
+        used = {r.name: processor_time(r) for r in routers}
         watched = {name: len(seen) for name, seen in misses.items()}
         await asyncio.sleep(WATCH_S)
         for router in routers:
             name = router.name
             answered = counts[name]["answered"] - before[name]["answered"]
             seen = misses[name][watched[name]:]
-            cpu = await processor_time(router) - used[name]
+            cpu = processor_time(router) - used[name]
             record.line("watched", router=name, answered=answered,
                         probes=len(seen), missed=sum(seen),
                         processor_s=round(cpu, 1))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -49,7 +49,7 @@
 
 def free_port_range(count):
     """Returns the first of `count` consecutive ports, free for TCP and UDP."""
-    start = os.getpid() * count
+    start = os.getpid() * count * 8
     for offset in range(0, 8000, count):
         first = 21000 + (start + offset) % 8000
         if first in TAKEN_RANGES:
