--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -429,7 +429,9 @@
   min-ttl-s: 1
 """)
 
-    async def start(self):
+    async def start(self, output=None):
+        """`output` is a file descriptor for what the process writes, in place
+        of a file in the temporary folder."""
         with open(os.path.join(REPOSITORY, "deploy", "system.toml"),
                   "rb") as file:
             command = shlex.split(tomllib.load(file)["roles"]["entry"]["run"])
@@ -441,8 +443,10 @@
         environment["POLLENRUDDER_BOOT"] = self.settings
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *command, cwd=REPOSITORY, env=environment, stdout=log,
-                stderr=log, stdin=asyncio.subprocess.DEVNULL)
+                *command, cwd=REPOSITORY, env=environment,
+                stdout=log if output is None else output,
+                stderr=log if output is None else output,
+                stdin=asyncio.subprocess.DEVNULL)
         self.record.line("router-started", router=self.name,
                          frontend=self.frontend)
 
