Review case 1: two holders while the leader is cut off and a target restarts

Seen: a leader that is cut off from the store renews its grants for the rest of its lease; a target that has released its keys to the next leader and restarts under its id accepts them with the old token, while the new holders have the keys, and both run unsafe requests on them. Cause: keys of an owner that accepted the new token move before the lease of the former leader ends; an owner that restarts has forgotten that token. The other cases are renumbered, gravest first.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,164 +1,131 @@
-"""An answer with an empty hop-by-hop field: the router never runs again.
+"""Late copies of rejections: a request that may run once runs again.
 
-Two routers, a service with six targets, clients on kept connections. With
-TROUBLE, one target is faulty for five seconds: one of its answers has a field
-without a value that its Connection field names. With VARIANT=client, a client
-sends such fields in one request instead, and all targets are sound.
+One router, a service divided by key with two targets, and an unsafe route to
+it. A client sends one request after the other on a kept connection. Now and
+then a target is full for a moment and rejects a request (503, not run), which
+the router sends to it again. With TROUBLE, one target is faulty: it also sends
+a copy of that rejection late, in front of its next answer.
 """
 import asyncio
+import collections
 import os
-import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
 import deployment as d  # noqa: E402
 
-# The dose of `garble` in the site file is 2 in 100 answers of 35 in 100
-# targets for 5.5 s. Here two of six targets are faulty and spoil one answer
-# together, after GOOD_ANSWERS good ones of the same target.
-GOOD_ANSWERS = 50
-TROUBLE_S = 5.5
-CLIENTS = 4
-WATCH_S = 15.0
-GRACE_PERIOD_S = 6.0
-FIELDS = [("Connection", "X-Trace"), ("X-Trace", "")]
-
-
-class Faulty(d.Target):
-    """Spoils one answer once it is told to."""
-
-    spoil_after = None
-    spoiled = False
-
-    def answer_headers(self, request_id):
-        headers = super().answer_headers(request_id)
-        if (self.spoil_after is not None and not Faulty.spoiled and
-                self.answers >= self.spoil_after):
-            Faulty.spoiled = True
-            self.record.line("target-spoils-answer", target=self.name,
-                             id=request_id)
-            headers += FIELDS
-        return headers
-
-
-def processor_time(router):
-    with open(f"/proc/{router.process.pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+# The dose of `garble` "extra late" in the site file is 3 in 100 answers of 60
+# in 100 targets for 5 s. Here one target of two is faulty.
+GARBLED_SHARE = 0.03
+TROUBLE_S = 5.0
+# Each REJECT_EVERY-th request arrives while its target is full.
+REJECT_EVERY = 40
+
+
+class FullAtTimes(d.Target):
+    """Rejects each REJECT_EVERY-th request once, because others fill it."""
+
+    seen = 0
+    rejected = set()
+    trouble_until = 0.0
+    copies = 0
+    answers_before = 0
+
+    async def answer(self, connection, method, path, headers, body):
+        request_id = headers["x-pollenrudder-request-id"]
+        late, connection.late = connection.late, b""
+        if late:
+            # At the point where the next answer is expected.
+            self.record.line("target-sends-late-copy", target=self.name,
+                             while_handling=request_id)
+            await connection.send(late)
+        if request_id not in self.rejected:
+            FullAtTimes.seen += 1
+            if FullAtTimes.seen % REJECT_EVERY == 0:
+                self.rejected.add(request_id)
+                rejection = self.reject(request_id, 503)
+                await connection.send(rejection)
+                share = self.copies + 1
+                share /= max(1, self.answers - self.answers_before)
+                if (time.monotonic() < self.trouble_until and
+                        share <= GARBLED_SHARE):
+                    self.copies += 1
+                    connection.late = rejection
+                return
+        self.record.line("target-begins", target=self.name, id=request_id)
+        RUNS[request_id] += 1
+        await super().answer(connection, method, path, headers, body)
+
+
+RUNS = collections.Counter()
 
 
 async def play(record, folder, trouble):
     store = d.Store()
     await store.start()
     store.put("keyed.op", "config", d.configuration(
-        3, d.route("history", "history.example", "safe", "archive", 4.0, 1.0),
-        d.service("archive")))
-    targets = [Faulty(f"i-{index}", "archive", store, record)
-               for index in range(6)]
+        3, d.route("lodge", "lodge.example", "unsafe", "register", 1.5, 0.5),
+        d.service("register", sharded=True)))
+    targets = [FullAtTimes(f"i-{index}", "register", store, record,
+                           sharded=True) for index in range(2)]
     for target in targets:
         await target.start()
-    routers = [d.Router(f"front-{index}", store, folder, record)
-               for index in range(2)]
-    counts = {router.name: {"sent": 0, "answered": 0} for router in routers}
-    from_client = os.environ.get("VARIANT") == "client"
-    next_fields = {}
+    router = d.Router("front-1", store, folder, record)
     broken = []
-    tasks = []
-
-    async def use(router, number):
-        client = None
-        index = 0
-        while True:
-            index += 1
-            request_id = f"{router.name}-{number}-{index}"
-            headers = {"Host": "history.example",
-                       "X-Pollenrudder-Request-Id": request_id,
-                       "X-Pollenrudder-Request-Deadline": 4000}
-            headers.update(next_fields)
-            next_fields.clear()
-            try:
-                if client is None:
-                    client = await asyncio.wait_for(
-                        d.Client.connect(router.frontend), 1)
-                counts[router.name]["sent"] += 1
-                record.line("client-sends", id=request_id)
-                status, _, _ = await client.request(
-                    "GET", "/history/2f", headers, timeout_s=4)
-                counts[router.name]["answered"] += 1
-                record.line("client-gets", id=request_id, status=status)
-            except (OSError, EOFError, asyncio.TimeoutError) as error:
-                record.line("client-gets-nothing", id=request_id,
-                            reason=type(error).__name__)
-                if client is not None:
-                    client.close()
-                client = None
-            await asyncio.sleep(0.02)
-
-    async def probe(router, misses):
-        while True:
-            good = await router.is_ready()
-            misses.append(0 if good else 1)
-            record.line("platform-probes", router=router.name, good=good)
-            await asyncio.sleep(1)
-
     try:
-        for router in routers:
-            await router.start()
-        for router in routers:
-            await router.wait_ready()
+        await router.start()
+        await router.wait_ready()
+        client = await d.Client.connect(router.frontend)
+
+        async def lodge(index):
+            request_id = f"lodge{index:05d}"
+            record.line("client-sends", id=request_id)
+            status, headers, body = await client.request(
+                "POST", "/lodge/2f",
+                {"Host": "lodge.example",
+                 "X-Pollenrudder-Request-Id": request_id,
+                 "X-Pollenrudder-Request-Deadline": 3000,
+                 "X-Pollenrudder-Shard-Key": index * 7919 % d.KEY_COUNT},
+                b"a design")
+            record.line("client-gets", id=request_id, status=status)
+            return request_id, status
+
+        # Until the keys are granted.
+        index, good = 0, 0
+        end = time.monotonic() + 20
+        while good < 20:
+            index += 1
+            _, status = await lodge(index)
+            good = good + 1 if status == 200 else 0
+            if time.monotonic() > end:
+                raise d.CannotRun("the keys are not granted")
+        if trouble:
+            record.line("trouble-begins", kind="garble", how="extra late")
+            targets[0].answers_before = targets[0].answers
+            targets[0].trouble_until = time.monotonic() + TROUBLE_S
+        answers = {}
+        end = time.monotonic() + TROUBLE_S
+        while time.monotonic() < end:
+            index += 1
+            request_id, status = await lodge(index)
+            answers[request_id] = status
+        # What is still at work at a target.
         await asyncio.sleep(2)
-        misses = {router.name: [] for router in routers}
-        for router in routers:
-            tasks.append(asyncio.ensure_future(
-                probe(router, misses[router.name])))
-            tasks += [asyncio.ensure_future(use(router, number))
-                      for number in range(CLIENTS)]
-        await asyncio.sleep(3)
-        if not all(c["answered"] > 20 for c in counts.values()):
-            raise d.CannotRun("requests are not served before the trouble")
-        if trouble and from_client:
-            record.line("client-fields", fields=FIELDS)
-            next_fields.update(FIELDS)
-        elif trouble:
-            record.line("trouble-begins", kind="garble")
-            for target in targets[:2]:
-                target.spoil_after = target.answers + GOOD_ANSWERS
-        await asyncio.sleep(TROUBLE_S)
-        if trouble and not from_client and not Faulty.spoiled:
-            raise d.CannotRun("the faulty targets got too few requests")
-        before = {name: dict(count) for name, count in counts.items()}
-        used = {r.name: processor_time(r) for r in routers}
-        watched = {name: len(seen) for name, seen in misses.items()}
-        await asyncio.sleep(WATCH_S)
-        for router in routers:
-            name = router.name
-            answered = counts[name]["answered"] - before[name]["answered"]
-            seen = misses[name][watched[name]:]
-            cpu = processor_time(router) - used[name]
-            record.line("watched", router=name, answered=answered,
-                        probes=len(seen), missed=sum(seen),
-                        processor_s=round(cpu, 1))
-            print(f"{name}: {answered} answers, {sum(seen)} of {len(seen)} "
-                  f"probes missed, {cpu:.1f} s of processor time in "
-                  f"{WATCH_S:.0f} s")
-            if answered == 0 and seen and sum(seen) == len(seen):
-                broken.append(f"Fault {name} hangs: answers no request and no "
-                              f"probe for {WATCH_S:.0f} s")
-        for task in tasks:
-            task.cancel()
-        for router in routers:
-            router.signal(signal.SIGTERM)
-        await asyncio.sleep(GRACE_PERIOD_S)
-        for router in routers:
-            if not router.ended():
-                broken.append(f"Fault {router.name} has not ended "
-                              f"{GRACE_PERIOD_S:.0f} s after SIGTERM")
+        for request_id, status in answers.items():
+            if RUNS[request_id] > 1:
+                broken.append(f"TWICE {request_id} ran {RUNS[request_id]} "
+                              f"times, answered {status}")
+            if status in (408, 421, 429, 503) and RUNS[request_id] > 0:
+                broken.append(f"REFUSED {request_id} answered {status}, ran "
+                              f"{RUNS[request_id]} times")
+        record.line("counted", requests=len(answers),
+                    answers=sum(t.answers for t in targets),
+                    copies=sum(t.copies for t in targets))
+        print(f"{len(answers)} requests, "
+              f"{sum(t.copies for t in targets)} late copies")
     finally:
-        for task in tasks:
-            task.cancel()
-        for router in routers:
-            await router.stop()
+        await router.stop()
         for target in targets:
             await target.stop()
         await store.stop()
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -235,6 +235,18 @@
                 "ttl-s_time": call["ttl-s_time"], "parts": own}
 
 
+class StoreFront(HttpServer):
+    """The store as one machine reaches it; silent while that one is cut off."""
+
+    def __init__(self, store):
+        self.store, self.cut = store, False
+
+    async def handle(self, connection, line, headers, body):
+        while self.cut:
+            await asyncio.sleep(0.05)
+        await self.store.handle(connection, line, headers, body)
+
+
 class Target(HttpServer):
     """A target that follows PROTOCOL.md: slots, a queue, and keys it holds."""
 
