--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -242,8 +242,12 @@
         self.store, self.cut = store, False
 
     async def handle(self, connection, line, headers, body):
-        while self.cut:
-            await asyncio.sleep(0.05)
+        if self.cut:
+            while self.cut:
+                await asyncio.sleep(0.05)
+            # Bytes that the partition held up are lost, as their sender resets
+            # the connection.
+            raise ConnectionResetError
         await self.store.handle(connection, line, headers, body)
 
 
