--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,6 +20,10 @@
 GOOD_ANSWERS = 50
 TROUBLE_S = 5.5
 CLIENTS = 4
+# RULES.md, CONFIG: of the requests that are unanswered at their route's
+# timeout-s, more than half have no answer half a second later.
+TIMEOUT_S = 2.0
+SLACK_S = 0.5
 WATCH_S = 15.0
 GRACE_PERIOD_S = 6.0
 FIELDS = [("Connection", "X-Trace"), ("X-Trace", "")]
@@ -52,7 +56,7 @@
     store = d.Store()
     await store.start()
     store.put("keyed.op", "config", d.configuration(
-        3, d.route("history", "history.example", "safe", "archive", 4.0, 1.0),
+        3, d.route("history", "history.example", "safe", "archive", TIMEOUT_S, 1.0),
         d.service("archive")))
     targets = [Faulty(f"i-{index}", "archive", store, record)
                for index in range(6)]
@@ -60,7 +64,8 @@
         await target.start()
     routers = [d.Router(f"front-{index}", store, folder, record)
                for index in range(2)]
-    counts = {router.name: {"sent": 0, "answered": 0} for router in routers}
+    counts = {router.name: {"sent": 0, "answered": 0, "overdue": 0,
+                            "unanswered": 0} for router in routers}
     from_client = os.environ.get("VARIANT") == "client"
     next_fields = {}
     broken = []
@@ -83,8 +88,16 @@
                         d.Client.connect(router.frontend), 1)
                 counts[router.name]["sent"] += 1
                 record.line("client-sends", id=request_id)
-                status, _, _ = await client.request(
-                    "GET", "/history/2f", headers, timeout_s=4)
+                answer = asyncio.ensure_future(client.request(
+                    "GET", "/history/2f", headers, timeout_s=4))
+                done, _ = await asyncio.wait([answer], timeout=TIMEOUT_S)
+                if not done:
+                    counts[router.name]["overdue"] += 1
+                    done, _ = await asyncio.wait([answer], timeout=SLACK_S)
+                    if not done:
+                        counts[router.name]["unanswered"] += 1
+                        record.line("client-has-no-answer", id=request_id)
+                status, _, _ = await answer
                 counts[router.name]["answered"] += 1
                 record.line("client-gets", id=request_id, status=status)
             except (OSError, EOFError, asyncio.TimeoutError) as error:
@@ -142,9 +155,16 @@
             print(f"{name}: {answered} answers, {sum(seen)} of {len(seen)} "
                   f"probes missed, {cpu:.1f} s of processor time in "
                   f"{WATCH_S:.0f} s")
+            overdue = counts[name]["overdue"]
+            unanswered = counts[name]["unanswered"]
+            if overdue >= 8 and 2 * unanswered > overdue:
+                broken.append(f"CONFIG {unanswered} of {overdue} requests that "
+                              f"{name} had not answered at timeout-s have no "
+                              f"answer {SLACK_S} s later")
             if answered == 0 and seen and sum(seen) == len(seen):
-                broken.append(f"Fault {name} hangs: answers no request and no "
-                              f"probe for {WATCH_S:.0f} s")
+                broken.append(f"Fault {name} answers no request and no probe "
+                              f"for {WATCH_S:.0f} s, and uses {cpu:.1f} s of "
+                              "processor time")
         for task in tasks:
             task.cancel()
         for router in routers:
