Review: keep case 1 and 5 inside the doses; end all processes of a script

Case 1 restarts four targets of nine (release: 0.45), before four of four. Case 5 exits with 2 unless one late copy is at most 3 in 100 of the target's answers.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
 """The leader is cut off from the store while a target restarts: two holders.
 
 Two routers, each with its own path to the store, and a service divided by key
-with four targets, which are restarted one after the other: a target drains,
-ends, and starts again under its id and address, holding and knowing nothing.
+with nine targets, of which four are restarted one after the other: a target
+drains, ends, and starts again under its id and address, holding and knowing
+nothing.
 With TROUBLE, the router that grants the keys is partitioned from the store for
 5.5 s during the last of these restarts, and the other one takes over.
 """
@@ -17,6 +18,9 @@
 
 # `core_cut` of the site file: one machine, "leader", for 5.5 s.
 CUT_S = 5.5
+# As many targets as the site's `geodata` has; `release` has a share of 0.45.
+TARGETS = 9
+RESTARTED = 4
 # The target drains this long after the cut begins, serves for drain-timeout-s
 # (2 s), ends, and is back after RESTART_S.
 DRAIN_AFTER_S = 0.6
@@ -154,7 +158,7 @@
         3, d.route("lodge", "a.example", "unsafe", "geodata", 1.5, 0.5),
         d.service("geodata", sharded=True)))
     targets = [Owner(f"i-{index}", "geodata", store, record, sharded=True)
-               for index in range(4)]
+               for index in range(TARGETS)]
     for target in targets:
         target.peers = targets
         await target.start()
@@ -200,7 +204,7 @@
         tasks += [asyncio.ensure_future(use(router, number))
                   for router in routers for number in range(3)]
         await asyncio.sleep(1.5)
-        for target in targets[:0:-1]:
+        for target in targets[RESTARTED - 1:0:-1]:
             await target.restart()
             await asyncio.sleep(1.5)
         renewed = asyncio.get_running_loop().create_future()
@@ -226,9 +230,7 @@
         record.line("cut-ends", router=leader)
         await asyncio.sleep(8)
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await d.end_tasks(tasks)
         if restarted is not None:
             await asyncio.gather(restarted, return_exceptions=True)
         for router in routers:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -165,8 +165,7 @@
                 broken.append(f"Fault {name} answers no request and no probe "
                               f"for {WATCH_S:.0f} s, and uses {cpu:.1f} s of "
                               "processor time")
-        for task in tasks:
-            task.cancel()
+        await d.end_tasks(tasks)
         for router in routers:
             router.signal(signal.SIGTERM)
         await asyncio.sleep(GRACE_PERIOD_S)
@@ -175,8 +174,7 @@
                 broken.append(f"Fault {router.name} has not ended "
                               f"{GRACE_PERIOD_S:.0f} s after SIGTERM")
     finally:
-        for task in tasks:
-            task.cancel()
+        await d.end_tasks(tasks)
         for router in routers:
             await router.stop()
         for target in targets:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,6 +18,9 @@
 # `applied_late` of the site file: 3 in 10 orders, for 5.5 s, each carried out 2
 # to 12 s later. Here it is one order of one target.
 CARRIED_OUT_AFTER_S = 3.0
+# `garble` "extra late": 3 in 100 answers for 5 s. Here it is one answer.
+GARBLED_SHARE = 0.03
+GARBLE_S = 5.0
 
 
 class Owner(d.Target):
@@ -140,13 +143,14 @@
     router = d.Router("front-1", store, folder, record)
     overlaps = {}
     watcher = asyncio.ensure_future(watch(targets, overlaps))
+    others = []
     try:
         await router.start()
         await router.wait_ready()
         client = await d.Client.connect(router.frontend)
 
-        async def look_up(index):
-            request_id = f"soil{index:05d}"
+        async def look_up(index, client=client, name="soil"):
+            request_id = f"{name}{index:05d}"
             record.line("client-sends", id=request_id)
             status, _, _ = await client.request(
                 "GET", "/soil/2f",
@@ -164,7 +168,15 @@
             status = await look_up(index)
         if status != 200:
             raise d.CannotRun("the keys are not granted")
+        async def look_up_beside(number):
+            beside = await d.Client.connect(router.frontend)
+            for step in range(1, 1 << 20):
+                await look_up(step * 5 + number, beside, f"beside{number}-")
+
+        others = [asyncio.ensure_future(look_up_beside(number))
+                  for number in range(3)]
         faulty = targets[0]
+        begun = time.monotonic()
         before = faulty.answers
         for target in targets:
             target.orders = 0
@@ -177,6 +189,12 @@
             await look_up(index)
             if time.monotonic() > end:
                 raise d.CannotRun("no second grant on one connection")
+        while (time.monotonic() < begun + GARBLE_S and
+               faulty.answers - before < 1 / GARBLED_SHARE):
+            index += 1
+            await look_up(index)
+        if 1 > GARBLED_SHARE * (faulty.answers - before):
+            raise d.CannotRun("too few answers for one late copy")
         record.line("target-drains", target=faulty.name)
         faulty.state = "draining"
         faulty.beat_task.cancel()
@@ -186,7 +204,7 @@
             index += 1
             await look_up(index)
     finally:
-        watcher.cancel()
+        await d.end_tasks([watcher, *others])
         await router.stop()
         for target in targets:
             await target.stop()
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -26,6 +26,8 @@
 STARTED = time.monotonic()
 # Errors of the stand-ins themselves, which void the run.
 FAULTS = []
+# Ids of the processes that were started and have not been seen to end.
+STARTED_IDS = set()
 
 
 class CannotRun(Exception):
@@ -149,6 +151,16 @@
         await self.writer.drain()
 
 
+async def end_tasks(tasks):
+    """Cancels until all have ended: asyncio.wait_for() may lose a cancellation
+    that comes together with its result."""
+    while pending := [task for task in tasks if not task.done()]:
+        for task in pending:
+            task.cancel()
+        await asyncio.wait(pending, timeout=0.1)
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class Store(HttpServer):
     """The platform's store: keyed topics with one partition, and groups."""
 
@@ -463,6 +475,7 @@
                 stdout=log if output is None else output,
                 stderr=log if output is None else output,
                 stdin=asyncio.subprocess.DEVNULL)
+        STARTED_IDS.add(self.process.pid)
         self.record.line("router-started", router=self.name,
                          frontend=self.frontend)
 
@@ -479,6 +492,7 @@
             self.process.kill()
         if self.process is not None:
             await self.process.wait()
+            STARTED_IDS.discard(self.process.pid)
 
     async def is_ready(self, timeout_s=1.0):
         """Asks as the platform does: 200 within a second."""
@@ -561,6 +575,8 @@
     record = Record(os.path.join(os.path.dirname(os.path.abspath(case)),
                                  "record.txt"))
     record.line("start", trouble=int(trouble))
+    # So that the processes are ended if the case is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         with tempfile.TemporaryDirectory() as folder:
             broken = asyncio.run(
@@ -571,6 +587,10 @@
         record.line("cannot-run", reason=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(2)
+    finally:
+        for process_id in STARTED_IDS:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process_id, signal.SIGKILL)
     for text in broken:
         record.line("BROKEN", rule=text)
         print(f"broken: {text}")
