Renew grants only over connections that no later term can precede

Cause: a token fences a former leader only as long as the process that accepted it lives. The restarted process accepts the old token, and neither the list nor the id tells the former leader that another process answers.

Change: GrantCoordinator::MaySend() lets a renewal go only over a connection that was established before another instance can have begun a term. The token of a later leader was then accepted by the process at the other end or by a later one, and the connection ends with its process. Other renewals are withheld until the next confirmation, for which the leader reads the log at once. Rows that are confirmed with a former token after the log was replaced obey the same rule. Document mode grants nothing to upstreams.

--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -31,6 +31,9 @@
 // the leader and read the log only when they miss some, because calls to the
 // store are billed.
 constexpr milliseconds kLeaderReadInterval{700};
+// Renewals over new connections wait for a confirmation, which the leader reads
+// at this interval at the most.
+constexpr milliseconds kConfirmationInterval{200};
 constexpr milliseconds kFollowerReadInterval{1000};
 constexpr std::chrono::seconds kRelayedReadInterval{60};
 // How long an instance waits for missed updates before it reads the log, which
@@ -72,6 +75,8 @@
       return "rejected";
     case KeyCallResult::kUnreachable:
       return "unreachable";
+    case KeyCallResult::kWithheld:
+      return "withheld";
     case KeyCallResult::kUnknown:
       return "unknown";
   }
@@ -395,6 +400,11 @@
   }
   for (const KeyCall& call : actions.calls)
     Start(call);
+  if (now >= last_confirmation_read_ + kConfirmationInterval &&
+      coordinator_.TakeConfirmationRequest()) {
+    last_confirmation_read_ = now;
+    ReadLog();
+  }
   ReadLogIfNeeded();
   PublishChanges();
 }
@@ -519,8 +529,8 @@
                                                        : durations_.grant_ttl;
   options.connect_timeout = durations_.call_timeout;
   options.reset_on_timeout = true;
-  options.may_send = [valid_until = call.valid_until] {
-    return BootClock::now() < valid_until;
+  options.may_send = [this, id = call.id, client = client.get()] {
+    return coordinator_.MaySend(id, client->connected_at(), BootClock::now());
   };
   client->Call(
       protocol_.FormatKeyCall(call), std::move(options),
@@ -529,9 +539,10 @@
                                                       ""};
         if (result == HttpCallResult::kAnswered)
           outcome = protocol_.ParseKeyResponse(call, response);
+        else if (result == HttpCallResult::kNotSent)
+          outcome.first = KeyCallResult::kWithheld;
         else if (result == HttpCallResult::kRefused ||
-                 result == HttpCallResult::kNotConnected ||
-                 result == HttpCallResult::kNotSent)
+                 result == HttpCallResult::kNotConnected)
           outcome.first = KeyCallResult::kUnreachable;
         if (result == HttpCallResult::kAnswered &&
             protocol_.ParseNotice(response, call.upstream.name).leaving)
--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -104,6 +104,7 @@
         }
         SetConnectionOptions(self->socket_);
         self->connected_ = true;
+        self->connected_at_ = BootClock::now();
         self->ArmTimer(self->options_.timeout);
         self->Write();
       });
@@ -232,7 +233,9 @@
   const Handler handler = std::exchange(handler_, nullptr);
   HttpResponse empty_response;
   const std::unique_ptr<HttpResponseParser> parser = std::move(parser_);
-  if (result != HttpCallResult::kAnswered || unusable_)
+  const bool is_idle =
+      result == HttpCallResult::kAnswered || result == HttpCallResult::kNotSent;
+  if (!is_idle || unusable_)
     Close();
   else
     WatchIdle();
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -29,7 +29,8 @@
   // The connection could not be opened in time, or for another reason. Nothing
   // was sent.
   kNotConnected,
-  // CallOptions::may_send returned false. Nothing was sent.
+  // CallOptions::may_send returned false. Nothing was sent, and the connection
+  // stays open.
   kNotSent,
   // The connection was lost after bytes may have been sent.
   kConnectionLost,
@@ -39,8 +40,8 @@
 };
 
 // Opens a connection with the first call and carries one call at a time. A
-// client is not reusable after a failure, or if the server will close the
-// connection.
+// client is not reusable after a failure other than kNotSent, or if the server
+// will close the connection.
 //
 //   auto client = HttpClient::Create(io, endpoint);
 //   client->Call(bytes, options,
@@ -91,6 +92,8 @@
   // carry another one.
   bool IsReusable() const { return !handler_ && !unusable_; }
   bool IsConnected() const { return connected_; }
+  // When the connection was established.
+  BootTime connected_at() const { return connected_at_; }
   // When the last response arrived.
   BootTime last_response_time() const { return last_response_time_; }
   // When the server closes the idle connection, if it announced that.
@@ -134,6 +137,7 @@
   bool writing_ = false;
   bool write_started_ = false;
   bool unusable_ = false;
+  BootTime connected_at_{};
   BootTime last_response_time_{};
   BootTime idle_deadline_ = BootTime::max();
 };
--- a/packages/grants/grant_actions.h
+++ b/packages/grants/grant_actions.h
@@ -47,6 +47,8 @@
   kRejected,
   // Nothing was sent: the connection was refused or could not be opened.
   kUnreachable,
+  // Nothing was sent: GrantCoordinator::MaySend() did not allow it.
+  kWithheld,
   // The call may have taken effect or may still do so.
   kUnknown,
 };
--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -23,6 +23,9 @@
 // preferred.
 constexpr milliseconds kTermRenewalInterval{1000};
 constexpr milliseconds kLeaderTimeout{1900};
+// No other instance takes over within this time after a term record was
+// appended. Shorter than kLeaderTimeout, because clocks drift.
+constexpr milliseconds kExclusiveTime{1800};
 // How long a replaced upstream gets no keys; the instance list may still name
 // it for a while.
 constexpr milliseconds kReplacedExclusion{4000};
@@ -399,6 +402,8 @@
   is_leader_ = false;
   transferring_ = false;
   term_confirmed_at_ = {};
+  term_appended_at_ = {};
+  needs_confirmation_ = false;
   changes_allowed_from_ = {};
   unknown_grants_until_ = {};
   unknown_append_.reset();
@@ -426,8 +431,13 @@
       for (const GrantLogRecord& record : append.records)
         ApplyRecord(next_offset_, record, now);
     }
-    if (is_leader_)
+    if (is_leader_) {
       term_confirmed_at_ = std::max(term_confirmed_at_, sent_at);
+      if (std::ranges::any_of(append.records, [](const GrantLogRecord& record) {
+            return IsTermKey(record.key);
+          }))
+        term_appended_at_ = std::max(term_appended_at_, sent_at);
+    }
     return;
   }
   if (result == LogAppendResult::kUnknown && is_leader_)
@@ -492,6 +502,15 @@
          now < term_confirmed_at_ + options_.times.leader_lease_duration;
 }
 
+BootTime GrantCoordinator::OtherTermsExcludedUntil() const {
+  return std::max(term_confirmed_at_, term_appended_at_ + kExclusiveTime);
+}
+
+BootTime GrantCoordinator::OtherTermsExcludedUntil(const RowState& row) const {
+  return row.unconfirmed_token ? row.lost_terms_excluded_until
+                               : OtherTermsExcludedUntil();
+}
+
 bool GrantCoordinator::ShouldClaim(BootTime now) const {
   // The leader of the former log, if it is still there, continues at once.
   if (replaced_log_ && !NeedsLog() && !is_leader_ && !stopping_) {
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -42,6 +42,13 @@
 //   leader's grants. It does not wait for a leader that resigned or that was an
 //   earlier incarnation of the same instance, but inherits the wait of that
 //   one.
+// - An upstream that restarts under its name forgets the tokens that it has
+//   accepted. So the leader renews a grant only over a connection that it
+//   opened before any other instance can have begun a later term: such a
+//   connection ends with the process that accepted the later leader's token.
+//   MaySend() decides this for each connection. Grants of keys that are moving
+//   need no such connection, because a new leader leaves these keys alone until
+//   the lease of the former one has expired.
 // - Keys go to a new owner when the former one has released them or its grants
 //   have expired, and no unanswered grant can still take effect there; or when
 //   another upstream responds at its address. The time of a grant runs from its
@@ -126,6 +133,16 @@
   // A response of `upstream` states that it is leaving. It gets no more keys.
   void OnUpstreamLeaving(const std::string& service,
                          const UpstreamIncarnation& upstream);
+  // Whether the call that Poll() returned with `id` may be sent now, over a
+  // connection that was established by `connected_at`. If not, it has to end
+  // with KeyCallResult::kWithheld, and the connection should stay open: the
+  // call follows once the term is confirmed again.
+  bool MaySend(std::uint64_t id, BootTime connected_at, BootTime now) const;
+  // Returns whether a call was withheld since the last call, so that a read of
+  // the log should confirm the term soon.
+  bool TakeConfirmationRequest() {
+    return std::exchange(needs_confirmation_, false);
+  }
   // `handover` is the data that a release returned.
   void OnCallEnded(std::uint64_t id,
                    KeyCallResult result,
@@ -206,6 +223,9 @@
     // Set after the log was replaced: the token of renewals until the owner has
     // accepted one, which shows that no other leader has moved the keys.
     std::optional<std::uint64_t> unconfirmed_token;
+    // Valid with unconfirmed_token: no other instance has begun a term on the
+    // lost part of the log before this time.
+    BootTime lost_terms_excluded_until{};
     // The former owner accepted a grant of this term, so it rejects those of
     // earlier leaders.
     bool former_confirmed = false;
@@ -222,6 +242,9 @@
     // The owner rejected a grant because it has accepted a higher token.
     bool fenced = false;
     BootTime next_grant{};
+    // When a renewal was withheld last. The next one is sent once no other
+    // instance can have begun a term before this time.
+    BootTime withheld_at{};
     std::uint32_t failures = 0;
   };
   struct ServiceState {
@@ -299,6 +322,10 @@
   // keys.
   static bool HaveOtherGrantsEnded(const RowState& row, BootTime now);
   static void CarryExpiries(const RowState& old, RowState& next);
+  // No other instance has begun a term before the returned time.
+  BootTime OtherTermsExcludedUntil() const;
+  // As above, for terms whose leader could have moved the keys of `row`.
+  BootTime OtherTermsExcludedUntil(const RowState& row) const;
   // Builds the row states for `table`, keeping the state of rows that overlap
   // earlier ones.
   void UpdateRowStates(ServiceState& state, const KeyTable& table) const;
@@ -433,6 +460,10 @@
   bool replaces_successor_ = false;
   bool is_leader_ = false;
   BootTime term_confirmed_at_{};
+  // When the last append that contained a record of this leader's term was
+  // sent.
+  BootTime term_appended_at_{};
+  bool needs_confirmation_ = false;
   BootTime changes_allowed_from_{};
   // The offset at which this term began; valid while this instance is the
   // leader.
--- a/packages/grants/grant_coordinator_property_test.cc
+++ b/packages/grants/grant_coordinator_property_test.cc
@@ -40,7 +40,10 @@
   };
   std::string name;
   bool alive = true;
+  bool leaving = false;
   milliseconds started_at{1};
+  // The start of the first incarnation with the present name.
+  milliseconds name_since{1};
   double clock_slowdown = 1.0;
   std::vector<Grant> grants;
   // The accepted grants with their tokens, by range of keys.
@@ -52,10 +55,17 @@
     });
   }
 
-  void StartNewIncarnation() {
+  // A process with another name rejects calls to the former one.
+  void StartNewIncarnation(bool keeps_name) {
     grants.clear();
     accepted_grants.clear();
     started_at += 1ms;
+    if (!keeps_name)
+      name_since = started_at;
+  }
+
+  bool AcceptsCallsFor(milliseconds incarnation) const {
+    return alive && incarnation >= name_since;
   }
 
   // Returns whether the call was accepted. `arrived` is the time of its
@@ -148,6 +158,13 @@
   static constexpr std::array<KeyNumber, 5> kSampledKeys{0, 20000, 33000, 50000,
                                                          65535};
 
+  // The connection of an instance over which an upstream gets its grants.
+  struct Connection {
+    // The process at the other end; zero if the connection is not open.
+    milliseconds process{0};
+    BootTime connected_at{};
+  };
+
   struct Instance {
     std::unique_ptr<GrantCoordinator> coordinator;
     // The instance cannot reach the store, or is suspended, until the given
@@ -156,6 +173,7 @@
     BootTime suspended_until{};
     BootTime next_read{};
     int incarnation = 0;
+    std::array<Connection, kUpstreams> connections;
   };
 
   double Draw() {
@@ -169,6 +187,7 @@
   void Restart(int index, BootTime now) {
     Instance& instance = instances_[index];
     ++instance.incarnation;
+    instance.connections = {};
     GrantCoordinator::Options options;
     options.instance = "front-" + std::to_string(index);
     options.incarnation =
@@ -193,6 +212,7 @@
       entry.zone = ZoneOf(upstream.name);
       entry.slots = 2;
       entry.started_at = upstream.started_at;
+      entry.leaving = upstream.leaving;
       fleet.Apply({entry.name, entry}, now_);
     }
     return fleet;
@@ -222,7 +242,13 @@
     if (Chance(0.004)) {
       Upstream& upstream = upstreams_[Pick(kUpstreams)];
       upstream.alive = !upstream.alive;
-      upstream.StartNewIncarnation();
+      upstream.StartNewIncarnation(Chance(0.5));
+    }
+    if (Chance(0.001))
+      RestartAsPlanned(upstreams_[Pick(kUpstreams)]);
+    if (Chance(0.005)) {
+      Instance& instance = instances_[Pick(kInstances)];
+      instance.connections[Pick(kUpstreams)] = {};
     }
     if (Chance(0.004)) {
       const std::string name = upstreams_[Pick(kUpstreams)].name;
@@ -239,6 +265,20 @@
     }
   }
 
+  // The upstream announces that it leaves, ends, and is back at once under its
+  // name. The lists of the instances show both later.
+  void RestartAsPlanned(Upstream& upstream) {
+    if (!upstream.alive || upstream.leaving)
+      return;
+    upstream.leaving = true;
+    const milliseconds incarnation = upstream.started_at;
+    Schedule(500ms + Delay(2500), [&upstream, incarnation] {
+      upstream.leaving = false;
+      if (upstream.alive && upstream.started_at == incarnation)
+        upstream.StartNewIncarnation(true);
+    });
+  }
+
   // Half of the upstreams are behind each of two links.
   static std::string ZoneOf(const std::string& upstream) {
     return (upstream.back() - '0') % 2 == 0 ? "a" : "b";
@@ -296,7 +336,8 @@
       return;
     const bool reaches_store = now_ >= instance.disconnected_until;
     if (reaches_store &&
-        (now_ >= instance.next_read || instance.coordinator->NeedsLog())) {
+        (now_ >= instance.next_read || instance.coordinator->NeedsLog() ||
+         instance.coordinator->TakeConfirmationRequest())) {
       instance.next_read = now_ + 500ms;
       const std::uint64_t from = instance.coordinator->next_offset();
       std::vector<GrantCoordinator::LogEntry> records;
@@ -366,22 +407,43 @@
     });
   }
 
+  // Returns the connection to `upstream`, which is opened if necessary, or null
+  // if no process listens there. The connection ends with the process.
+  const Connection* Connect(Instance& instance, std::size_t upstream) {
+    const Upstream& target = upstreams_[upstream];
+    Connection& connection = instance.connections[upstream];
+    if (connection.process == target.started_at && target.alive)
+      return &connection;
+    connection = {};
+    if (!target.alive)
+      return nullptr;
+    connection = {target.started_at, now_};
+    return &connection;
+  }
+
   void Send(int index, const KeyCall& call) {
-    const int incarnation = instances_[index].incarnation;
-    if (now_ >= call.valid_until) {
+    Instance& instance = instances_[index];
+    const int incarnation = instance.incarnation;
+    const auto at =
+        std::ranges::find(upstreams_, call.upstream.name, &Upstream::name);
+    const std::size_t upstream =
+        static_cast<std::size_t>(at - upstreams_.begin());
+    const Connection* connection = Connect(instance, upstream);
+    const bool may_send =
+        connection != nullptr &&
+        instance.coordinator->MaySend(call.id, connection->connected_at, now_);
+    if (!may_send) {
+      const KeyCallResult result = connection == nullptr
+                                       ? KeyCallResult::kUnreachable
+                                       : KeyCallResult::kWithheld;
       Schedule(0ms, [=, this] {
         Deliver(index, incarnation, [=, this](GrantCoordinator& coordinator) {
-          coordinator.OnCallEnded(call.id, KeyCallResult::kUnreachable, "",
-                                  now_);
+          coordinator.OnCallEnded(call.id, result, "", now_);
         });
       });
       return;
     }
-    const auto at =
-        std::ranges::find(upstreams_, call.upstream.name, &Upstream::name);
-    const std::size_t upstream =
-        static_cast<std::size_t>(at - upstreams_.begin());
-    const milliseconds started_at = call.upstream.started_at;
+    const milliseconds process = connection->process;
     const bool is_grant = call.kind == KeyCall::Kind::kGrant;
     const BootTime sent_at = now_;
     const milliseconds timeout = is_grant ? 800ms : 4000ms;
@@ -389,37 +451,41 @@
     // The caller has given the call up before it can be answered.
     const bool is_late =
         arrives_at + 30ms >= sent_at + timeout || (is_grant && Chance(0.1));
-    events_.push_back({arrives_at, [=, this] {
-                         const BootTime arrived = now_;
-                         const milliseconds processing_time =
-                             is_late && is_grant && Chance(0.5)
-                                 ? 2000ms + Delay(10000)
-                                 : Delay(30);
-                         Schedule(processing_time, [=, this] {
-                           Upstream& target = upstreams_[upstream];
-                           const bool is_running =
-                               target.alive && target.started_at == started_at;
-                           // The address may be in use by another upstream.
-                           const bool replaced = Chance(0.5);
-                           const bool accepted =
-                               is_running && target.Apply(call, arrived, now_);
-                           if (accepted && call.kind == KeyCall::Kind::kGrant)
-                             CheckToken(upstream, call);
-                           if (!is_late) {
-                             Deliver(index, incarnation,
-                                     [=, this](GrantCoordinator& coordinator) {
-                                       coordinator.OnCallEnded(
-                                           call.id,
-                                           accepted     ? KeyCallResult::kDone
-                                           : is_running ? KeyCallResult::kFenced
-                                           : replaced
-                                               ? KeyCallResult::kReplaced
-                                               : KeyCallResult::kUnreachable,
-                                           "", now_);
-                                     });
-                           }
-                         });
-                       }});
+    events_.push_back(
+        {arrives_at, [=, this] {
+           const BootTime arrived = now_;
+           const milliseconds processing_time =
+               is_late && is_grant && Chance(0.5) ? 2000ms + Delay(10000)
+                                                  : Delay(30);
+           Schedule(processing_time, [=, this] {
+             Upstream& target = upstreams_[upstream];
+             const bool is_connected =
+                 target.alive && target.started_at == process;
+             const bool is_running =
+                 is_connected &&
+                 target.AcceptsCallsFor(call.upstream.started_at);
+             // The address may be in use by another upstream.
+             const bool is_replaced =
+                 is_connected || (!target.alive && Chance(0.5));
+             const bool accepted =
+                 is_running && target.Apply(call, arrived, now_);
+             if (accepted && call.kind == KeyCall::Kind::kGrant)
+               CheckToken(upstream, call);
+             if (!is_late) {
+               Deliver(index, incarnation,
+                       [=, this](GrantCoordinator& coordinator) {
+                         coordinator.OnCallEnded(
+                             call.id,
+                             accepted       ? KeyCallResult::kDone
+                             : is_running   ? KeyCallResult::kFenced
+                             : is_replaced  ? KeyCallResult::kReplaced
+                             : target.alive ? KeyCallResult::kUnknown
+                                            : KeyCallResult::kUnreachable,
+                             "", now_);
+                       });
+             }
+           });
+         }});
     if (is_late) {
       Schedule(timeout, [=, this] {
         Deliver(index, incarnation, [=, this](GrantCoordinator& coordinator) {
--- a/packages/grants/grant_coordinator_replaced_log.cc
+++ b/packages/grants/grant_coordinator_replaced_log.cc
@@ -79,8 +79,10 @@
           std::max(row.unrecorded_owner_until, unknown_grants_until_);
       if (row.row.moving)
         continue;
-      if (!row.unconfirmed_token)
+      if (!row.unconfirmed_token) {
         row.unconfirmed_token = CallToken(row.row.token);
+        row.lost_terms_excluded_until = OtherTermsExcludedUntil();
+      }
       row.next_grant = now;
     }
   }
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -89,12 +89,12 @@
   const KeyCall call = std::move(at->second.call);
   const BootTime requested_at = at->second.requested_at;
   const FormerOwner callee{call.upstream, at->second.row_token};
-  if (result != KeyCallResult::kUnknown &&
-      result != KeyCallResult::kUnreachable)
+  const bool sent = result != KeyCallResult::kUnreachable &&
+                    result != KeyCallResult::kWithheld;
+  if (sent && result != KeyCallResult::kUnknown)
     RecordAnswer(call.upstream, requested_at, now);
   calls_.erase(at);
   const BootTime end = now + options_.times.WithDriftMargin(call.grant_ttl);
-  const bool sent = result != KeyCallResult::kUnreachable;
   ServiceState& state = services_[call.service];
   if (result == KeyCallResult::kReplaced) {
     OnIncarnationEnded(state, call.upstream);
@@ -152,6 +152,12 @@
       row.owner_expiry.OnFenced();
       continue;
     }
+    if (result == KeyCallResult::kWithheld) {
+      row.withheld_at = now;
+      row.next_grant = now;
+      needs_confirmation_ = true;
+      continue;
+    }
     if (++row.failures >= kMaxFailures)
       state.excluded_until[call.upstream.name] = now + kFailureExclusion;
     row.fenced |= result == KeyCallResult::kFenced;
@@ -159,6 +165,29 @@
   }
 }
 
+bool GrantCoordinator::MaySend(std::uint64_t id,
+                               BootTime connected_at,
+                               BootTime now) const {
+  const auto at = calls_.find(id);
+  if (at == calls_.end() || now >= at->second.call.valid_until)
+    return false;
+  const KeyCall& call = at->second.call;
+  if (call.kind == KeyCall::Kind::kRelease)
+    return true;
+  const auto service = services_.find(call.service);
+  if (service == services_.end())
+    return false;
+  const std::vector<RowState>& rows = service->second.rows;
+  auto row = std::ranges::lower_bound(
+      rows, call.keys.first, {},
+      [](const RowState& known) { return known.row.keys.last; });
+  for (; row != rows.end() && row->row.keys.Overlaps(call.keys); ++row) {
+    if (!row->row.moving && connected_at > OtherTermsExcludedUntil(*row))
+      return false;
+  }
+  return true;
+}
+
 void GrantCoordinator::OnIncarnationEnded(
     ServiceState& state,
     const UpstreamIncarnation& incarnation) {
@@ -206,7 +235,8 @@
       PollMovingRow(service, row, now, actions);
       continue;
     }
-    if (now < row.next_grant || row.owner_expiry.HasCallPending())
+    if (now < row.next_grant || row.owner_expiry.HasCallPending() ||
+        row.withheld_at > OtherTermsExcludedUntil(row))
       continue;
     if (const ListedUpstream* owner = FindIncarnation(row.row.owner))
       SendGrant(service, row, *owner, now, actions);
--- a/packages/grants/replaced_log_test.cc
+++ b/packages/grants/replaced_log_test.cc
@@ -124,6 +124,30 @@
   return coordinator;
 }
 
+// Guards against two owners of a key: an owner that released its keys to a
+// leader on the lost part of the log, and restarted, accepts a renewal with the
+// former token, which would prove that no other leader has moved the keys.
+TEST_CASE("GrantCoordinator confirms rows only over older connections") {
+  GrantCoordinator coordinator = MakeLeader();
+  REQUIRE(coordinator.IsLeader());
+  const BootTime replaced = At(kReplaced);
+  coordinator.OnNewestRecords({}, kNewEnd, replaced);
+  const GrantActions actions = coordinator.Poll(replaced);
+  REQUIRE(actions.append);
+  REQUIRE_FALSE(actions.calls.empty());
+  // The last confirmation by the former log.
+  const BootTime confirmed = replaced - 20ms;
+  const BootTime appended = replaced + 20ms;
+  for (const KeyCall& call : actions.calls) {
+    CHECK(coordinator.MaySend(call.id, confirmed, replaced));
+    CHECK_FALSE(coordinator.MaySend(call.id, replaced, replaced));
+  }
+  coordinator.OnAppendEnded(LogAppendResult::kDone, appended, appended);
+  REQUIRE(coordinator.IsActive(appended));
+  for (const KeyCall& call : actions.calls)
+    CHECK_FALSE(coordinator.MaySend(call.id, replaced, appended));
+}
+
 // Guards against a leader that is never confirmed again after the store was
 // restored: it read from a position that the new log does not have, and no key
 // was granted until the end of the day.
