Send a retry over a connection that its request has not used

Cause: a response is matched by connection and request id, and all sends of one attempt of a caller have one id. The retry took the connection of the rejected send, which had just become idle.

Change: HttpClientPool::Take() leaves out the connections of the former attempts of a request, so that connection and id name one send. They stay in the pool for other requests. A response without an id ends its connection, so that no copy of it can precede another answer, and document mode closes a connection after it has refused a request with an issued id, which its caller may repeat.

--- a/packages/entry/active_request.h
+++ b/packages/entry/active_request.h
@@ -40,6 +40,9 @@
   std::optional<ListedUpstream> upstream;
   std::shared_ptr<HttpClient> client;
   BootTime sent_at{};
+  // The connections of the former attempts. A late copy of a response there has
+  // the id of this request, so no further attempt uses them.
+  std::vector<std::weak_ptr<HttpClient>> former_clients;
   // Number of sends, including several to one upstream.
   std::uint32_t sends = 0;
   // Set if an upstream may have run the request.
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -245,7 +245,8 @@
   if (std::ranges::find(request.dispatch.tried, upstream.name) ==
       request.dispatch.tried.end())
     request.dispatch.tried.push_back(upstream.name);
-  request.client = PoolOf(upstream).Take(!request.repeatable, now);
+  request.client =
+      PoolOf(upstream).Take(!request.repeatable, request.former_clients, now);
   const nanoseconds left =
       std::max<nanoseconds>(dispatch.deadline - now, milliseconds(1));
   HttpClient::CallOptions options;
@@ -254,10 +255,10 @@
   options.head_request = request.message.method == "HEAD";
   options.response_budget = &response_budget_;
   options.may_send = [this, id = dispatch.id] { return MayStillSend(id); };
-  options.accepts_response =
-      [this, id = request.request_id](const HttpResponse& response) {
-        return protocol_.IsResponseTo(response, id);
-      };
+  options.match = [this,
+                   id = request.request_id](const HttpResponse& response) {
+    return protocol_.MatchResponse(response, id);
+  };
   ArmTimer(request, now);
   request.client->Call(
       protocol_.FormatForUpstream(request.message, upstream, left),
@@ -347,6 +348,7 @@
                         (result == AttemptResult::kErrorResponse &&
                          (!request.repeatable || response.status < 500));
   if (!is_final && TryConsumeRetry(request, result, now)) {
+    request.former_clients.push_back(client);
     Retry(request, result, now);
   } else if (is_final || result == AttemptResult::kErrorResponse) {
     Deliver(it, response);
--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -188,8 +188,13 @@
       Finish(HttpCallResult::kInvalidResponse);
       return;
     }
-    if (!options_.accepts_response ||
-        options_.accepts_response(parser_->response()))
+    const ResponseMatch match = options_.match
+                                    ? options_.match(parser_->response())
+                                    : ResponseMatch::kOwn;
+    // A late copy of this response could not be told from a response to the
+    // next call.
+    unusable_ |= match == ResponseMatch::kUnidentified;
+    if (match != ResponseMatch::kOther)
       break;
     // A late response to an earlier request.
     if (++skipped_responses_ > kMaxSkippedResponses) {
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -15,6 +15,7 @@
 
 #include "base/boot_clock.h"
 #include "entry/response_budget.h"
+#include "entry/response_match.h"
 #include "http/http_message.h"
 #include "http/http_parser.h"
 
@@ -59,9 +60,9 @@
     // Timeout for opening the connection.
     std::chrono::nanoseconds connect_timeout = std::chrono::seconds(1);
     bool head_request = false;
-    // Returns whether a response belongs to this call; others are skipped. If
+    // Decides whether a response belongs to this call; others are skipped. If
     // unset, every response is accepted.
-    std::function<bool(const HttpResponse&)> accepts_response;
+    std::function<ResponseMatch(const HttpResponse&)> match;
     // Called right before the request is written; false ends the call with
     // kNotSent. If unset, the request is sent.
     std::function<bool()> may_send;
--- a/packages/entry/http_client_pool.cc
+++ b/packages/entry/http_client_pool.cc
@@ -16,13 +16,20 @@
     client->Abort();
 }
 
-std::shared_ptr<HttpClient> HttpClientPool::Take(bool recently_used,
-                                                 BootTime now) {
-  while (!idle_.empty()) {
-    auto client = idle_.back();
-    if (recently_used && now > client->last_response_time() + kRecentUseLimit)
+std::shared_ptr<HttpClient> HttpClientPool::Take(
+    bool recently_used,
+    const std::vector<std::weak_ptr<HttpClient>>& excluded,
+    BootTime now) {
+  for (auto it = idle_.end(); it != idle_.begin();) {
+    --it;
+    if (recently_used && now > (*it)->last_response_time() + kRecentUseLimit)
       break;
-    idle_.pop_back();
+    const bool is_excluded = std::ranges::any_of(
+        excluded, [&](const auto& client) { return client.lock() == *it; });
+    if (is_excluded)
+      continue;
+    auto client = std::move(*it);
+    it = idle_.erase(it);
     if (client->IsReusable() && now < UsableUntil(*client))
       return client;
     client->Abort();
--- a/packages/entry/http_client_pool.h
+++ b/packages/entry/http_client_pool.h
@@ -36,8 +36,12 @@
   HttpClientPool& operator=(const HttpClientPool&) = delete;
 
   // Returns an idle connection, or a new one. `recently_used` excludes
-  // connections without a response within kRecentUseLimit.
-  std::shared_ptr<HttpClient> Take(bool recently_used, BootTime now);
+  // connections without a response within kRecentUseLimit. Connections in
+  // `excluded` stay idle for other calls.
+  std::shared_ptr<HttpClient> Take(
+      bool recently_used,
+      const std::vector<std::weak_ptr<HttpClient>>& excluded,
+      BootTime now);
   // Keeps the connection if it can be used again.
   void Return(std::shared_ptr<HttpClient> client);
   void CloseIdle(BootTime now);
--- a/packages/entry/http_client_test.cc
+++ b/packages/entry/http_client_test.cc
@@ -55,8 +55,11 @@
     HttpClient::CallOptions options;
     options.timeout = 10s;
     options.response_budget = &budget;
-    options.accepts_response = [id](const HttpResponse& response) {
-      return FindHeader(response.header_lines, "Id") == id;
+    options.match = [id](const HttpResponse& response) {
+      const auto named = FindHeader(response.header_lines, "Id");
+      if (!named)
+        return ResponseMatch::kUnidentified;
+      return *named == id ? ResponseMatch::kOwn : ResponseMatch::kOther;
     };
     client->Call("GET / HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n\r\n",
                  std::move(options), std::move(handler));
--- a/packages/entry/scripted_server_test.h
+++ b/packages/entry/scripted_server_test.h
@@ -3,6 +3,8 @@
 #ifndef POLLENRUDDER_ENTRY_SCRIPTED_SERVER_TEST_H_
 #define POLLENRUDDER_ENTRY_SCRIPTED_SERVER_TEST_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,10 +13,13 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include "http/http_message.h"
+
 namespace pollenrudder {
 
 // What the server does with one request.
@@ -29,7 +34,7 @@
 };
 
 // Accepts connections on a free port and passes each request head to `respond`,
-// with its number on the connection. Requests have no body.
+// with its number on the connection. Bodies have a length and are skipped.
 class ScriptedServer {
  public:
   using Respond =
@@ -78,6 +83,24 @@
               boost::asio::buffers_begin(connection->input.data()) +
                   static_cast<std::ptrdiff_t>(size));
           connection->input.consume(size);
+          SkipBody(connection, head);
+        });
+  }
+
+  void SkipBody(const std::shared_ptr<Connection>& connection,
+                const std::string& head) {
+    const auto length =
+        ParseNumber(FindHeader(head, "Content-Length").value_or("0"));
+    const std::size_t body = length.value_or(0);
+    const std::size_t missing = body - std::min(body, connection->input.size());
+    boost::asio::async_read(
+        connection->socket, connection->input,
+        boost::asio::transfer_exactly(missing),
+        [this, connection, head, body](boost::system::error_code error,
+                                       std::size_t /*size*/) {
+          if (error)
+            return;
+          connection->input.consume(body);
           connection->response = respond_(head, ++connection->requests);
           Write(connection, connection->response.bytes);
         });
--- a/packages/entry/upstream_protocol.h
+++ b/packages/entry/upstream_protocol.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "entry/caller_fields.h"
+#include "entry/response_match.h"
 #include "entry/upstream_notice.h"
 #include "fleet/listed_upstream.h"
 #include "grants/grant_actions.h"
@@ -47,9 +48,10 @@
   // `upstream` is the name of the upstream to which the request was sent.
   virtual ResponseKind Classify(const HttpResponse& response,
                                 std::string_view upstream) const = 0;
-  // Returns whether `response` is the response to the request with this id.
-  virtual bool IsResponseTo(const HttpResponse& response,
-                            std::string_view request_id) const = 0;
+  // Compares `response` with the request that has this id, which is empty for a
+  // request without one.
+  virtual ResponseMatch MatchResponse(const HttpResponse& response,
+                                      std::string_view request_id) const = 0;
   // Returns what `response` states about the upstream `upstream`. Empty if
   // another upstream may have sent the response. Applies to key calls too.
   virtual UpstreamNotice ParseNotice(const HttpResponse& response,
--- a/packages/upstreams/fake_upstream_test.cc
+++ b/packages/upstreams/fake_upstream_test.cc
@@ -80,6 +80,11 @@
   return requests_;
 }
 
+std::vector<int> FakeUpstream::request_connections() {
+  const std::lock_guard lock(mutex_);
+  return request_connections_;
+}
+
 std::vector<std::string> FakeUpstream::grants() {
   const std::lock_guard lock(mutex_);
   return grants_;
@@ -121,18 +126,20 @@
       continue;
     max_connections_ = std::max(max_connections_, ++connections_);
     Socket& accepted = sockets_.emplace_back(std::move(socket));
-    threads_.emplace_back([this, &accepted] { Serve(accepted); });
+    const int number = static_cast<int>(sockets_.size());
+    threads_.emplace_back(
+        [this, &accepted, number] { Serve(accepted, number); });
   }
 }
 
-void FakeUpstream::Serve(Socket& socket) {
+void FakeUpstream::Serve(Socket& socket, int connection) {
   std::string buffer;
   error_code error;
   while (true) {
     const std::string request = ReadRequest(socket, buffer);
     if (request.empty())
       break;
-    const Reply reply = Handle(request);
+    const Reply reply = Handle(request, connection);
     {
       std::unique_lock lock(mutex_);
       stopping_.wait(lock, [this] { return !frozen_ || stopped_; });
@@ -149,7 +156,8 @@
     socket.close(error);
 }
 
-FakeUpstream::Reply FakeUpstream::Handle(const std::string& request) {
+FakeUpstream::Reply FakeUpstream::Handle(const std::string& request,
+                                         int connection) {
   const std::string body = request.substr(request.find("\r\n\r\n") + 4);
   if (request.starts_with("GET /pollenrudder/health"))
     return {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
@@ -162,6 +170,7 @@
   {
     const std::lock_guard lock(mutex_);
     requests_.push_back(request);
+    request_connections_.push_back(connection);
     max_in_flight_ = std::max(max_in_flight_, ++in_flight_);
   }
   Reply reply = script_(request);
--- a/packages/upstreams/fake_upstream_test.h
+++ b/packages/upstreams/fake_upstream_test.h
@@ -50,6 +50,8 @@
 
   // The requests that were passed to the script, in order.
   std::vector<std::string> requests();
+  // The number of the connection of each of these requests.
+  std::vector<int> request_connections();
   std::vector<std::string> grants();
   // Maximum number of concurrent requests in the script, and of open
   // connections.
@@ -67,8 +69,8 @@
   using Socket = boost::asio::ip::tcp::socket;
 
   void AcceptLoop();
-  void Serve(Socket& socket);
-  Reply Handle(const std::string& request);
+  void Serve(Socket& socket, int connection);
+  Reply Handle(const std::string& request, int connection);
 
   const Script script_;
   boost::asio::io_context io_;
@@ -78,6 +80,7 @@
   std::list<Socket> sockets_;
   std::vector<std::thread> threads_;
   std::vector<std::string> requests_;
+  std::vector<int> request_connections_;
   std::vector<std::string> grants_;
   int in_flight_ = 0;
   int max_in_flight_ = 0;
--- a/packages/upstreams/upstream_leader.cc
+++ b/packages/upstreams/upstream_leader.cc
@@ -408,7 +408,13 @@
     OnReachable();
   duration_.Observe(now - item.sent_at);
   drains_.OnEnded(ShardOrZero(item.request));
-  pool_.Return(std::exchange(item.connection, nullptr));
+  const auto connection = std::exchange(item.connection, nullptr);
+  // A repeat has the same id, so a late copy of this response would pass for
+  // the answer to it.
+  if (refused && !item.request.request_id.empty())
+    pool_.Discard(connection);
+  else
+    pool_.Return(connection);
   UpstreamResult result;
   result.request_id = item.sent_id;
   if (refused) {
--- a/packages/upstreams/upstream_sender_test.cc
+++ b/packages/upstreams/upstream_sender_test.cc
@@ -459,6 +459,27 @@
   REQUIRE(Get(fixture.Send(request)).error == ErrorKind::kInvalidRequestId);
 }
 
+// Guards against a request that runs twice: a late copy of the refusal has the
+// id of the repeat, and would pass for the answer to it on the same connection.
+TEST_CASE("a repeat does not follow its refusal on the same connection") {
+  int sends = 0;
+  Fixture fixture([&sends](const std::string& request) {
+    if (++sends > 1)
+      return FakeUpstream::Reply{FakeUpstream::MakeResponse(request, "ran")};
+    return FakeUpstream::Reply{
+        "HTTP/1.1 503 Busy\r\nPollenrudder-Request-Id: " +
+        FakeUpstream::Header(request, "Pollenrudder-Request-Id") +
+        "\r\nPollenrudder-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+  });
+  UpstreamRequest request = fixture.Request("POST", "booking");
+  request.request_id = fixture.IssueId();
+  REQUIRE(Get(fixture.Send(request)).error == ErrorKind::kNotRunOverloaded);
+  REQUIRE(Get(fixture.Send(request)).response.body == "ran");
+  const std::vector<int> connections = fixture.upstream.request_connections();
+  REQUIRE(connections.size() == 2);
+  REQUIRE(connections[0] != connections[1]);
+}
+
 // Guards against a repeat that runs while the first run is unfinished, or after
 // its outcome became unknown.
 TEST_CASE("a repeat of an unfinished or lost request does not run") {
