Accept only the response that names the key call

Cause: GrantDriver took every response on the connection for the answer to the call in progress, so the grant did not count as unanswered.

Change: a key call accepts only the response with its id, by UpstreamProtocol::MatchKeyResponse(). The copy is skipped, the call times out, and the keys wait until the grant cannot take effect any more. In document mode the response to a grant has no id, and the grant took an idle connection of the upstream: grants and probes now get one of their own (test: fails before).

--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -532,6 +532,9 @@
   options.may_send = [this, id = call.id, client = client.get()] {
     return coordinator_.MaySend(id, client->connected_at(), BootClock::now());
   };
+  options.match = [this, call](const HttpResponse& response) {
+    return protocol_.MatchKeyResponse(response, call);
+  };
   client->Call(
       protocol_.FormatKeyCall(call), std::move(options),
       [this, call, on_done](HttpCallResult result, HttpResponse& response) {
--- a/packages/entry/upstream_protocol.h
+++ b/packages/entry/upstream_protocol.h
@@ -62,6 +62,9 @@
 
   // Grants and releases of keys.
   virtual std::string FormatKeyCall(const KeyCall& call) const = 0;
+  // Compares `response` with `call`.
+  virtual ResponseMatch MatchKeyResponse(const HttpResponse& response,
+                                         const KeyCall& call) const = 0;
   // Returns the result and the handover data, which is empty if there is none.
   virtual std::pair<KeyCallResult, std::string> ParseKeyResponse(
       const KeyCall& call,
--- a/packages/upstreams/fake_upstream_test.cc
+++ b/packages/upstreams/fake_upstream_test.cc
@@ -90,6 +90,11 @@
   return grants_;
 }
 
+std::vector<int> FakeUpstream::grant_connections() {
+  const std::lock_guard lock(mutex_);
+  return grant_connections_;
+}
+
 int FakeUpstream::max_in_flight() {
   const std::lock_guard lock(mutex_);
   return max_in_flight_;
@@ -164,6 +169,7 @@
   if (request.starts_with("POST /pollenrudder/grant")) {
     const std::lock_guard lock(mutex_);
     grants_.push_back(body);
+    grant_connections_.push_back(connection);
     return {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nPollenrudder-Clock: " +
             std::to_string(kClockReading.count()) + "\r\n\r\n"};
   }
--- a/packages/upstreams/fake_upstream_test.h
+++ b/packages/upstreams/fake_upstream_test.h
@@ -50,9 +50,10 @@
 
   // The requests that were passed to the script, in order.
   std::vector<std::string> requests();
-  // The number of the connection of each of these requests.
-  std::vector<int> request_connections();
   std::vector<std::string> grants();
+  // The numbers of the connections of these requests and grants.
+  std::vector<int> request_connections();
+  std::vector<int> grant_connections();
   // Maximum number of concurrent requests in the script, and of open
   // connections.
   int max_in_flight();
@@ -82,6 +83,7 @@
   std::vector<std::string> requests_;
   std::vector<int> request_connections_;
   std::vector<std::string> grants_;
+  std::vector<int> grant_connections_;
   int in_flight_ = 0;
   int max_in_flight_ = 0;
   int connections_ = 0;
--- a/packages/upstreams/upstream_leader.h
+++ b/packages/upstreams/upstream_leader.h
@@ -187,9 +187,9 @@
   void EndGrant(bool accepted);
   void StartProbe(BootTime now);
   void EndProbe(bool succeeded);
-  // Does nothing if there is no idle connection and none can be opened.
+  // Opens a connection for the call, if necessary in place of an idle one. Does
+  // nothing if all connections are in use.
   void StartCall(ControlCall& call,
-                 bool new_connection,
                  std::string request,
                  ControlHandler handler);
   void SendCall(ControlCall& call,
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -188,7 +188,7 @@
   AppendHeader(request.header_lines, "Content-Type", "application/json");
   request.body = "{\"fence\": " + std::to_string(lease_->fence) + "}";
   StartCall(
-      grant_call_, false, FormatRequest(request, {}),
+      grant_call_, FormatRequest(request, {}),
       [this](const std::optional<HttpResponse>& response) {
         if (response)
           UpdateClock(*response, BootClock::now());
@@ -221,7 +221,7 @@
   request.method = "GET";
   request.target = "/pollenrudder/health";
   AppendHeader(request.header_lines, "Host", upstream_->address);
-  StartCall(probe_call_, true, FormatRequest(request, {}),
+  StartCall(probe_call_, FormatRequest(request, {}),
             [this](const std::optional<HttpResponse>& response) {
               EndProbe(response.has_value());
             });
@@ -253,21 +253,20 @@
 }
 
 void UpstreamLeader::StartCall(ControlCall& call,
-                               bool new_connection,
                                std::string request,
                                ControlHandler handler) {
   assert(!call.active);
   call.number = ++control_sequence_;
   call.sent_at = BootClock::now();
-  const bool open = new_connection && pool_.CanOpen();
-  const ConnectionPool::Connection idle = open ? nullptr : pool_.Acquire();
-  if (!idle && !pool_.CanOpen())
+  // Responses to these calls have no id, so a connection that has carried
+  // another call might return a late copy of its response.
+  if (!pool_.CanOpen()) {
+    if (const auto idle = pool_.Acquire())
+      pool_.Discard(idle);
+  }
+  if (!pool_.CanOpen())
     return;
   call.active = true;
-  if (idle) {
-    SendCall(call, idle, std::move(request), std::move(handler));
-    return;
-  }
   pool_.Open(
       [this, &call, number = call.number, request = std::move(request),
        handler = std::move(handler)](const ConnectionPool::Connection& opened) {
@@ -296,13 +295,17 @@
           HttpClientConnection::ExchangeResult result) {
         call.active = false;
         const auto used = std::exchange(call.connection, nullptr);
-        if (result.end == HttpClientConnection::ExchangeOutcome::kAnswered) {
+        const bool answered =
+            result.end == HttpClientConnection::ExchangeOutcome::kAnswered;
+        // A request accepts no copy of this response if it expects its id.
+        if (answered && service_->settings.echoes_request_id)
           pool_.Return(used);
-          handler(std::move(result.response));
-        } else {
+        else
           pool_.Discard(used);
+        if (answered)
+          handler(std::move(result.response));
+        else
           handler(std::nullopt);
-        }
       });
 }
 
--- a/packages/upstreams/upstream_sender_test.cc
+++ b/packages/upstreams/upstream_sender_test.cc
@@ -86,8 +86,8 @@
     routed.zone = "zone";
     routed.region = "region";
     routed.address = upstream.address();
-    routed.term = kFence;
-    routed.leader_fence = kFence;
+    routed.term = fence;
+    routed.leader_fence = fence;
     routed.leader = "here.1";
     table->upstreams = {routed};
     RoutedService service;
@@ -102,7 +102,14 @@
   }
 
   void SetLease(std::chrono::nanoseconds left) {
-    sender->ApplyLease({"geo-1", kFence, BootClock::now() + left});
+    sender->ApplyLease({"geo-1", fence, BootClock::now() + left});
+  }
+
+  void BeginNextTerm() {
+    ++fence;
+    sender->SetTable(
+        Table({kPlacedOffset, kPlacedOffset, kPlacedOffset, kPlacedOffset}));
+    SetLease(10s);
   }
 
   UpstreamRequest Request(const std::string& method = "GET",
@@ -142,6 +149,7 @@
     return ids.ids[0];
   }
 
+  LogOffset fence = kFence;
   ServiceSettings settings;
   FakeUpstream upstream;
   RecordingListener listener;
@@ -480,6 +488,19 @@
   REQUIRE(connections[0] != connections[1]);
 }
 
+// Guards against a grant that counts as accepted because of a late copy of the
+// response to a request: a response to a grant has no id.
+TEST_CASE("a grant is the first call on its connection") {
+  Fixture fixture;
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+  fixture.BeginNextTerm();
+  REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
+  const std::vector<int> grants = fixture.upstream.grant_connections();
+  REQUIRE(grants.size() == 2);
+  REQUIRE(grants[1] != grants[0]);
+  REQUIRE(grants[1] != fixture.upstream.request_connections().at(0));
+}
+
 // Guards against a repeat that runs while the first run is unfinished, or after
 // its outcome became unknown.
 TEST_CASE("a repeat of an unfinished or lost request does not run") {
