Take empty datagrams from the socket

Cause: InstanceChannel::Receive() asked for the size of the next datagram and took 0 for "none", so that the datagram stayed and the socket was readable again at once.

Change: the datagram is received into a buffer of the largest size; the loop ends when the socket would block, or after 64 datagrams, so that other work of the event loop gets its turn.

--- a/packages/entry/instance_channel.cc
+++ b/packages/entry/instance_channel.cc
@@ -26,6 +26,8 @@
 constexpr char kCompressed = 'z';
 // Compression saves little below this size.
 constexpr std::size_t kMinCompressedBytes = 400;
+// Other work of the event loop gets its turn after this many datagrams.
+constexpr int kMaxDatagramsPerWake = 64;
 // The maximum size of a decompressed datagram.
 constexpr std::size_t kMaxTextBytes = 1 << 20;
 
@@ -103,25 +105,23 @@
 }
 
 void InstanceChannel::Receive() {
-  socket_.async_wait(boost::asio::ip::udp::socket::wait_read,
-                     [this](boost::system::error_code error) {
-                       if (error)
-                         return;
-                       while (true) {
-                         boost::system::error_code read_error;
-                         const std::size_t size = socket_.available(read_error);
-                         if (read_error || size == 0)
-                           break;
-                         buffer_.resize(size);
-                         const std::size_t bytes =
-                             socket_.receive_from(boost::asio::buffer(buffer_),
-                                                  sender_, 0, read_error);
-                         if (read_error)
-                           break;
-                         Dispatch(std::string_view(buffer_.data(), bytes));
-                       }
-                       Receive();
-                     });
+  socket_.async_wait(
+      boost::asio::ip::udp::socket::wait_read,
+      [this](boost::system::error_code error) {
+        if (error)
+          return;
+        for (int count = 0; count < kMaxDatagramsPerWake; ++count) {
+          buffer_.resize(kMaxDatagramBytes);
+          boost::system::error_code read_error;
+          // Also takes an empty datagram from the socket.
+          const std::size_t bytes = socket_.receive_from(
+              boost::asio::buffer(buffer_), sender_, 0, read_error);
+          if (read_error)
+            break;
+          Dispatch(std::string_view(buffer_.data(), bytes));
+        }
+        Receive();
+      });
 }
 
 std::string InstanceChannel::SenderAddress() const {
