Limit the head and the trailer of a chunk in requests

Responses had this limit, requests had none.

Change: the limit moves to the base of both parsers: what the parser leaves in the buffer may not be longer than a header. The request is refused with 431.

Result: the new test gets no end of kNeedMore before the change, and kHeaderTooLarge after it.

--- a/packages/http/http_parser.cc
+++ b/packages/http/http_parser.cc
@@ -82,7 +82,7 @@
 class MessageParser : public http::basic_parser<is_request> {
  public:
   explicit MessageParser(const ParseLimits& limits)
-      : body_bytes_(limits.body_bytes) {
+      : body_bytes_(limits.body_bytes), header_bytes_(limits.header_bytes) {
     this->eager(true);
     this->header_limit(limits.header_bytes);
     // The body limit is enforced by this class, since it may depend on the
@@ -99,10 +99,14 @@
       error_code error;
       const std::size_t used = this->put(buffer.data(), error);
       buffer.consume(used);
-      if (error == http::error::need_more)
-        return ParseStatus::kNeedMore;
-      if (error)
+      if (!error && used > 0)
+        continue;
+      if (error && error != http::error::need_more)
         return StatusOf(error);
+      // What the parser leaves is part of a header, or of the head or trailer
+      // of a chunk, which may not be longer either.
+      return buffer.size() > header_bytes_ ? ParseStatus::kHeaderTooLarge
+                                           : ParseStatus::kNeedMore;
     }
     return ParseStatus::kDone;
   }
@@ -169,6 +173,7 @@
   int host_field_count_ = 0;
 
  private:
+  const std::uint32_t header_bytes_;
   HeaderNames connection_options_;
 };
 
@@ -314,11 +319,6 @@
 ParseStatus HttpResponseParser::Parse(boost::beast::flat_buffer& buffer) {
   while (true) {
     const ParseStatus status = core_->ParseFrom(buffer);
-    // What the parser leaves is part of a header, or of the head or trailer of
-    // a chunk, which may not be longer either.
-    if (status == ParseStatus::kNeedMore &&
-        buffer.size() > limits_.header_bytes)
-      return ParseStatus::kHeaderTooLarge;
     if (status != ParseStatus::kDone || core_->message().status / 100 != 1)
       return status;
     if (++interim_responses_ > kMaxInterimResponses)
--- a/packages/http/http_parser.h
+++ b/packages/http/http_parser.h
@@ -36,7 +36,8 @@
 // Parses one request; create a new parser for the next one. Call Parse() each
 // time bytes have been appended to the buffer, until it returns a status other
 // than kNeedMore. Parsed bytes are consumed from the buffer; bytes of the next
-// request remain.
+// request remain. Without an end of a header, or of the head or trailer of a
+// chunk, the header is too large after a limited number of bytes.
 class HttpRequestParser {
  public:
   // Returns the body limit of a request, of which only the header has been
--- a/packages/http/http_parser_test.cc
+++ b/packages/http/http_parser_test.cc
@@ -80,5 +80,30 @@
   CHECK(parser.response().header_lines == kept);
 }
 
+// Guards against a process that runs out of memory or time: the head of a chunk
+// without an end was collected and searched again at each read.
+TEST_CASE("The head and the trailer of a chunk are limited") {
+  const std::string chunk_part =
+      GENERATE(as<std::string>(), "4;extension=", "0\r\nX-Trailer: ");
+  const HttpRequestParser::BodyLimit no_body_limit;
+  const ParseLimits limits{.header_bytes = 1 << 10};
+  HttpRequestParser parser(limits, no_body_limit);
+  boost::beast::flat_buffer buffer;
+  const auto parse = [&](std::string_view bytes) {
+    buffer.commit(boost::asio::buffer_copy(
+        buffer.prepare(bytes.size()),
+        boost::asio::buffer(bytes.data(), bytes.size())));
+    return parser.Parse(buffer);
+  };
+  REQUIRE(parse("POST / HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n" +
+                chunk_part) == ParseStatus::kNeedMore);
+  const std::string more(100, 'x');
+  ParseStatus status = ParseStatus::kNeedMore;
+  for (int round = 0; round < 20 && status == ParseStatus::kNeedMore; ++round)
+    status = parse(more);
+  CHECK(status == ParseStatus::kHeaderTooLarge);
+}
+
 }  // namespace
 }  // namespace pollenrudder
