Limit the responses to key calls

Another operator reported a machine that ran out of memory because a faulty upstream sent bytes without end. Here requests were bounded, key calls were not: a grant leader calls many upstreams at once, and each response could have 64 MB until its timeout, of the 260 MB at which the platform ends a process.

Cause: GrantDriver left HttpClient::CallOptions::body_limit at its default.

Change: a response to a key call has 16 KB at most. Then the call ends with an unknown outcome, like one that timed out, and its connection is closed.

--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -53,6 +53,9 @@
 // Used after a transfer whose successor did not take over.
 constexpr std::chrono::seconds kTransferDelayAfterFailure{30};
 constexpr milliseconds kSuccessorPollInterval{150};
+// A response to a key call has a handover and no body of note. Many upstreams
+// may send endless ones at once.
+constexpr std::uint64_t kMaxKeyResponseBytes = 16 << 10;
 
 std::vector<GrantCoordinator::LogEntry> ToLogEntries(
     const GrantLog::Batch& batch) {
@@ -529,6 +532,7 @@
                                                        : durations_.grant_ttl;
   options.connect_timeout = durations_.call_timeout;
   options.reset_on_timeout = true;
+  options.body_limit = kMaxKeyResponseBytes;
   options.may_send = [this, id = call.id, client = client.get()] {
     return coordinator_.MaySend(id, client->connected_at(), BootClock::now());
   };
--- a/packages/entry/scripted_server_test.h
+++ b/packages/entry/scripted_server_test.h
@@ -50,6 +50,7 @@
     return acceptor_.local_endpoint();
   }
   int connections() const { return connections_; }
+  std::size_t bytes_sent() const { return bytes_sent_; }
 
  private:
   struct Connection {
@@ -110,8 +111,8 @@
              const std::string& bytes) {
     boost::asio::async_write(
         connection->socket, boost::asio::buffer(bytes),
-        [this, connection](boost::system::error_code error,
-                           std::size_t /*size*/) {
+        [this, connection](boost::system::error_code error, std::size_t size) {
+          bytes_sent_ += size;
           if (error)
             return;
           if (!connection->response.endless.empty()) {
@@ -132,6 +133,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   const Respond respond_;
   int connections_ = 0;
+  std::size_t bytes_sent_ = 0;
 };
 
 }  // namespace pollenrudder
