Refuse what cannot end before a planned stop does

Another operator reported requests that were passed on late in the grace of a planned stop and cut at its end without an answer. Here a request that waited was passed on until one second before the end of the grace period, however long its service takes, and with a short grace period new callers' requests too.

Cause: only the time of day of the stop decided, in two constants, not the time that a request needs.

Change: Forwarder::StopBy() names the time of the abort. Right before a send, and for waiting requests in each check of the stop, a request that has not run is refused unless 0.6 s and three usual latencies of its service are left, or the time until its own deadline.

--- a/packages/dispatch/dispatch_listener.h
+++ b/packages/dispatch/dispatch_listener.h
@@ -12,15 +12,16 @@
 
 namespace pollenrudder {
 
-// Called from within the functions of Dispatcher, which the callbacks must not
-// call.
+// Called from within the functions of Dispatcher. The callbacks may call its
+// const functions only.
 class DispatchListener {
  public:
   virtual ~DispatchListener() = default;
 
-  // Called right before a send. Returns true if the caller has gone, in which
-  // case the dispatcher drops the request without any further callback.
-  virtual bool DropIfAbandoned(const DispatchRequest& request) = 0;
+  // Called right before a send. Returns true if the request must not be sent
+  // any more, for example because the caller has gone. The listener has ended
+  // it then, and the dispatcher drops it without any further callback.
+  virtual bool DropIfObsolete(const DispatchRequest& request) = 0;
   virtual void OnSend(const DispatchRequest& request,
                       const ListedUpstream& upstream) = 0;
   // `kind` is one of the kNotRun kinds. `retry_after` is the time after which
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -253,6 +253,13 @@
              : at->second.estimate.ExpectedLatency(now);
 }
 
+nanoseconds Dispatcher::ExpectedLatency(std::string_view service,
+                                        BootTime now) const {
+  const auto known = services_.find(service);
+  return known == services_.end() ? nanoseconds(0)
+                                  : MeanLatency(known->second, now);
+}
+
 nanoseconds Dispatcher::RetryAfter(const DispatchRequest& request,
                                    BootTime now) {
   const Service& service = services_[request.service];
@@ -403,7 +410,7 @@
                now);
         return true;
       }
-      if (listener_.DropIfAbandoned(request))
+      if (listener_.DropIfObsolete(request))
         return true;
       decision.upstream->estimate.OnSent();
       listener_.OnSend(request, decision.upstream->entry);
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -107,6 +107,9 @@
   std::chrono::nanoseconds ExpectedLatency(std::string_view service,
                                            std::string_view upstream,
                                            BootTime now) const;
+  // As above, from the upstreams of `service` on average.
+  std::chrono::nanoseconds ExpectedLatency(std::string_view service,
+                                           BootTime now) const;
   // Returns after how long there is likely to be capacity for a request like
   // this one.
   std::chrono::nanoseconds RetryAfter(const DispatchRequest& request,
--- a/packages/dispatch/dispatcher_fixture_test.h
+++ b/packages/dispatch/dispatcher_fixture_test.h
@@ -32,7 +32,7 @@
               const ListedUpstream& upstream) override {
     sent.emplace_back(request.id, upstream.name);
   }
-  bool DropIfAbandoned(const DispatchRequest& request) override {
+  bool DropIfObsolete(const DispatchRequest& request) override {
     return abandoned.contains(request.id);
   }
   void OnRefuse(const DispatchRequest& request,
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -27,9 +27,6 @@
 constexpr double kRelayTakeoverShare = 0.55;
 // The process ends this long before it would be killed.
 constexpr milliseconds kExitMargin{150};
-// Requests that have not been sent to an upstream are refused this long before
-// the end of the grace period.
-constexpr milliseconds kRejectMargin{1000};
 // Requests that upstreams still process are aborted this long before the end of
 // the grace period.
 constexpr milliseconds kAbortMargin{400};
@@ -427,8 +424,7 @@
   const auto elapsed = BootClock::now() - leave_started_at_;
   if (elapsed >= kAcceptWhileLeaving && acceptor_->IsOpen())
     acceptor_->Close();
-  if (elapsed >= settings_.grace_period - kRejectMargin)
-    forwarder_.RejectUnsent();
+  forwarder_.StopBy(leave_started_at_ + settings_.grace_period - kAbortMargin);
   if (elapsed >= settings_.grace_period - kAbortMargin)
     forwarder_.AbortInFlight();
   // Idle connections close during the loop, which changes the set.
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -36,6 +36,10 @@
 // a slot becomes free or an update with a new owner arrives.
 constexpr milliseconds kOwnerRetryDelay{40};
 constexpr milliseconds kDefaultRetryAfter{500};
+// During a planned stop, a request is sent only if this time is left, and this
+// many times the usual latency of its service.
+constexpr milliseconds kMinTimeBeforeStop{600};
+constexpr int kLatenciesBeforeStop = 3;
 constexpr milliseconds kConnectTimeout{1000};
 
 std::string_view Name(AttemptResult result) {
@@ -220,15 +224,20 @@
   }
 }
 
-bool Forwarder::DropIfAbandoned(const DispatchRequest& dispatch) {
+bool Forwarder::DropIfObsolete(const DispatchRequest& dispatch) {
   const auto it = requests_.find(dispatch.id);
   assert(it != requests_.end());
   // An instance that is short of processor time may read a request and the end
   // of its connection together, and finds the end only after the request.
   const auto caller = it->second.caller.lock();
-  if (caller && !caller->HasPeerClosed())
-    return false;
-  RecordAbandoned(it->second, BootClock::now());
+  const BootTime now = BootClock::now();
+  if (caller && !caller->HasPeerClosed()) {
+    if (it->second.may_have_run || CanEndBeforeStop(it->second, now))
+      return false;
+    Fail(it, ErrorKind::kNotRunShuttingDown, kDefaultRetryAfter);
+    return true;
+  }
+  RecordAbandoned(it->second, now);
   requests_.erase(it);
   return true;
 }
@@ -510,10 +519,22 @@
   ScheduleTick();
 }
 
-void Forwarder::RejectUnsent() {
+bool Forwarder::CanEndBeforeStop(const ActiveRequest& request,
+                                 BootTime now) const {
+  const DispatchRequest& dispatch = request.dispatch;
+  const nanoseconds needed = std::max<nanoseconds>(
+      kMinTimeBeforeStop, dispatcher_.ExpectedLatency(dispatch.service, now) *
+                              kLatenciesBeforeStop);
+  return now + std::min(needed, dispatch.deadline - now) <= stops_at_;
+}
+
+void Forwarder::StopBy(BootTime time) {
+  stops_at_ = time;
+  const BootTime now = BootClock::now();
   std::vector<std::uint64_t> waiting;
   for (const auto& [id, request] : requests_) {
-    if (!request.client && !request.may_have_run)
+    if (!request.client && !request.may_have_run &&
+        !CanEndBeforeStop(request, now))
       waiting.push_back(id);
   }
   for (const std::uint64_t id : waiting) {
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -77,9 +77,10 @@
   std::map<std::string, ServiceLoad, std::less<>> TakeLoad() {
     return dispatcher_.TakeLoad(BootClock::now());
   }
-  // Refuses the requests that have not been sent to an upstream, because this
-  // instance stops.
-  void RejectUnsent();
+  // From now on, requests that cannot be expected to end before `time`, at
+  // which this instance aborts what is in progress, are refused instead of
+  // sent.
+  void StopBy(BootTime time);
   // Aborts the requests that upstreams still process, so that the responses
   // queued behind them on a caller's connection can be sent.
   void AbortInFlight();
@@ -91,7 +92,7 @@
   }
 
   // DispatchListener:
-  bool DropIfAbandoned(const DispatchRequest& request) override;
+  bool DropIfObsolete(const DispatchRequest& request) override;
   void OnSend(const DispatchRequest& request,
               const ListedUpstream& upstream) override;
   void OnRefuse(const DispatchRequest& request,
@@ -123,6 +124,9 @@
   // Closes the connection of the attempt in progress and reports `result` to
   // the dispatcher.
   void AbortAttempt(ActiveRequest& request, AttemptResult result, BootTime now);
+  // Returns whether the request can be expected to end before this instance
+  // aborts it.
+  bool CanEndBeforeStop(const ActiveRequest& request, BootTime now) const;
   // Checks again, once the connection to the upstream is open, whether the
   // request may be sent there.
   bool MayStillSend(std::uint64_t id) const;
@@ -154,6 +158,7 @@
   std::map<std::string, Pool, std::less<>> pools_;
   ResponseBudget response_budget_;
   const BootTime started_;
+  BootTime stops_at_ = BootTime::max();
   boost::asio::steady_timer tick_timer_;
   bool tick_pending_ = false;
   std::mt19937_64 random_;
