--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -36,8 +36,8 @@
 // a slot becomes free or an update with a new owner arrives.
 constexpr milliseconds kOwnerRetryDelay{40};
 constexpr milliseconds kDefaultRetryAfter{500};
-// During a planned stop, a request is sent only if this time is left, and this
-// many times the usual latency of its service.
+// During a planned stop, a request is sent only if this time is left until the
+// abort, and this many times the usual latency of its service.
 constexpr milliseconds kMinTimeBeforeStop{600};
 constexpr int kLatenciesBeforeStop = 3;
 constexpr milliseconds kConnectTimeout{1000};
--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -31,11 +31,10 @@
 // the leader and read the log only when they miss some, because calls to the
 // store are billed.
 constexpr milliseconds kLeaderReadInterval{700};
-// Renewals over new connections wait for a confirmation, which the leader reads
-// at this interval at the most.
-constexpr milliseconds kConfirmationInterval{200};
 constexpr milliseconds kFollowerReadInterval{1000};
 constexpr std::chrono::seconds kRelayedReadInterval{60};
+// Minimum time between the log reads that confirm the term for withheld calls.
+constexpr milliseconds kConfirmationInterval{200};
 // How long an instance waits for missed updates before it reads the log, which
 // contains whole tables.
 constexpr milliseconds kUpdateRequestTime{200};
@@ -53,8 +52,8 @@
 // Used after a transfer whose successor did not take over.
 constexpr std::chrono::seconds kTransferDelayAfterFailure{30};
 constexpr milliseconds kSuccessorPollInterval{150};
-// A response to a key call has a handover and no body of note. Many upstreams
-// may send endless ones at once.
+// A response to a key call has a short body or none. Many faulty upstreams may
+// send endless ones at once.
 constexpr std::uint64_t kMaxKeyResponseBytes = 16 << 10;
 
 std::vector<GrantCoordinator::LogEntry> ToLogEntries(
