Append the term for renewals over new connections

Cause: upstreams close the connection after some responses. Each next renewal was withheld until a read of the log had confirmed the term, at most every 0.2 s, and the connection was then used for one row.

Change: a withheld call makes the leader append its term, as it does for a preferred instance. The extra reads are gone.

--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -33,8 +33,6 @@
 constexpr milliseconds kLeaderReadInterval{700};
 constexpr milliseconds kFollowerReadInterval{1000};
 constexpr std::chrono::seconds kRelayedReadInterval{60};
-// Minimum time between the log reads that confirm the term for withheld calls.
-constexpr milliseconds kConfirmationInterval{200};
 // How long an instance waits for missed updates before it reads the log, which
 // contains whole tables.
 constexpr milliseconds kUpdateRequestTime{200};
@@ -402,11 +400,6 @@
   }
   for (const KeyCall& call : actions.calls)
     Start(call);
-  if (now >= last_confirmation_read_ + kConfirmationInterval &&
-      coordinator_.TakeConfirmationRequest()) {
-    last_confirmation_read_ = now;
-    ReadLog();
-  }
   ReadLogIfNeeded();
   PublishChanges();
 }
--- a/packages/entry/grant_driver.h
+++ b/packages/entry/grant_driver.h
@@ -202,8 +202,6 @@
   bool relay_active_ = false;
   BootTime relay_stopped_at_{};
   BootTime last_report_{};
-  // When the log was read last because a call was withheld.
-  BootTime last_confirmation_read_{};
   bool stopping_ = false;
 };
 
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -136,13 +136,8 @@
   // Whether the call that Poll() returned with `id` may be sent now, over a
   // connection that was established by `connected_at`. If not, it has to end
   // with KeyCallResult::kWithheld, and the connection should stay open: the
-  // call follows once the term is confirmed again.
+  // call follows once the term is appended again.
   bool MaySend(std::uint64_t id, BootTime connected_at, BootTime now) const;
-  // Returns whether a call was withheld since the last call, so that a read of
-  // the log should confirm the term soon.
-  bool TakeConfirmationRequest() {
-    return std::exchange(needs_confirmation_, false);
-  }
   // `handover` is the data that a release returned.
   void OnCallEnded(std::uint64_t id,
                    KeyCallResult result,
@@ -346,7 +341,8 @@
   GrantTermRecord MakeClaim(BootTime now) const;
   GrantTermRecord MakeResignation(BootTime now) const;
   // Returns the current term to append again, if that is due: to show that the
-  // leader is alive, or to record that its wait is over.
+  // leader is alive, so that no other instance takes over for a while, or to
+  // record that its wait is over.
   std::optional<GrantTermRecord> MakeTermRenewal(BootTime now);
   bool HasPendingGrant() const;
   // The part of Poll() for a leader that has not started a term in the new log.
@@ -463,7 +459,9 @@
   // When the last append that contained a record of this leader's term was
   // sent.
   BootTime term_appended_at_{};
-  bool needs_confirmation_ = false;
+  // A call was withheld since then. An append of the term lets the following
+  // calls go over new connections for a while.
+  bool needs_term_renewal_ = false;
   BootTime changes_allowed_from_{};
   // The offset at which this term began; valid while this instance is the
   // leader.
--- a/packages/grants/grant_coordinator_property_test.cc
+++ b/packages/grants/grant_coordinator_property_test.cc
@@ -336,8 +336,7 @@
       return;
     const bool reaches_store = now_ >= instance.disconnected_until;
     if (reaches_store &&
-        (now_ >= instance.next_read || instance.coordinator->NeedsLog() ||
-         instance.coordinator->TakeConfirmationRequest())) {
+        (now_ >= instance.next_read || instance.coordinator->NeedsLog())) {
       instance.next_read = now_ + 500ms;
       const std::uint64_t from = instance.coordinator->next_offset();
       std::vector<GrantCoordinator::LogEntry> records;
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -155,7 +155,7 @@
     if (result == KeyCallResult::kWithheld) {
       row.withheld_at = now;
       row.next_grant = now;
-      needs_confirmation_ = true;
+      needs_term_renewal_ = true;
       continue;
     }
     if (++row.failures >= kMaxFailures)
--- a/packages/grants/renewal_connections_test.cc
+++ b/packages/grants/renewal_connections_test.cc
@@ -157,8 +157,7 @@
   void ReadStore(std::size_t index) {
     Instance& instance = instances_[index];
     GrantCoordinator& coordinator = *instance.coordinator;
-    if (time_ < instance.next_read && !coordinator.NeedsLog() &&
-        !coordinator.TakeConfirmationRequest())
+    if (time_ < instance.next_read && !coordinator.NeedsLog())
       return;
     instance.next_read = time_ + kStoreInterval;
     std::vector<GrantCoordinator::LogEntry> records;
