Keep connections with unidentified responses for repeatable requests

Cause: a response without the id of its request ended its connection.

Change: such a connection stays, for requests that are repeatable. A late copy could make one of these run again, which they may, but not one that may run once. A response to a request without an id still ends its connection.

--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -255,7 +255,7 @@
       request.dispatch.tried.end())
     request.dispatch.tried.push_back(upstream.name);
   request.client =
-      PoolOf(upstream).Take(!request.repeatable, request.former_clients, now);
+      PoolOf(upstream).Take(request.repeatable, request.former_clients, now);
   const nanoseconds left =
       std::max<nanoseconds>(dispatch.deadline - now, milliseconds(1));
   HttpClient::CallOptions options;
@@ -268,6 +268,9 @@
                    id = request.request_id](const HttpResponse& response) {
     return protocol_.MatchResponse(response, id);
   };
+  // Upstreams reject requests without naming them at times. Such a connection
+  // is kept for requests that are repeatable.
+  options.ends_when_unidentified = request.request_id.empty();
   ArmTimer(request, now);
   request.client->Call(
       protocol_.FormatForUpstream(request.message, upstream, left),
--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -191,9 +191,10 @@
     const ResponseMatch match = options_.match
                                     ? options_.match(parser_->response())
                                     : ResponseMatch::kOwn;
-    // A late copy of this response could not be told from a response to the
-    // next call.
-    unusable_ |= match == ResponseMatch::kUnidentified;
+    if (match == ResponseMatch::kUnidentified) {
+      has_unidentified_response_ = true;
+      unusable_ |= options_.ends_when_unidentified;
+    }
     if (match != ResponseMatch::kOther)
       break;
     // A late response to an earlier request.
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -63,6 +63,8 @@
     // Decides whether a response belongs to this call; others are skipped. If
     // unset, every response is accepted.
     std::function<ResponseMatch(const HttpResponse&)> match;
+    // Whether a response that names no call ends the connection.
+    bool ends_when_unidentified = true;
     // Called right before the request is written; false ends the call with
     // kNotSent. If unset, the request is sent.
     std::function<bool()> may_send;
@@ -95,6 +97,9 @@
   bool IsConnected() const { return connected_; }
   // When the connection was established.
   BootTime connected_at() const { return connected_at_; }
+  // Whether a response named no call. A late copy of it could pass for the
+  // response to a later call.
+  bool has_unidentified_response() const { return has_unidentified_response_; }
   // When the last response arrived.
   BootTime last_response_time() const { return last_response_time_; }
   // When the server closes the idle connection, if it announced that.
@@ -138,6 +143,7 @@
   bool writing_ = false;
   bool write_started_ = false;
   bool unusable_ = false;
+  bool has_unidentified_response_ = false;
   BootTime connected_at_{};
   BootTime last_response_time_{};
   BootTime idle_deadline_ = BootTime::max();
--- a/packages/entry/http_client_pool.cc
+++ b/packages/entry/http_client_pool.cc
@@ -17,13 +17,15 @@
 }
 
 std::shared_ptr<HttpClient> HttpClientPool::Take(
-    bool recently_used,
+    bool is_repeatable,
     const std::vector<std::weak_ptr<HttpClient>>& excluded,
     BootTime now) {
   for (auto it = idle_.end(); it != idle_.begin();) {
     --it;
-    if (recently_used && now > (*it)->last_response_time() + kRecentUseLimit)
+    if (!is_repeatable && now > (*it)->last_response_time() + kRecentUseLimit)
       break;
+    if (!is_repeatable && (*it)->has_unidentified_response())
+      continue;
     const bool is_excluded = std::ranges::any_of(
         excluded, [&](const auto& client) { return client.lock() == *it; });
     if (is_excluded)
--- a/packages/entry/http_client_pool.h
+++ b/packages/entry/http_client_pool.h
@@ -35,11 +35,12 @@
   HttpClientPool(const HttpClientPool&) = delete;
   HttpClientPool& operator=(const HttpClientPool&) = delete;
 
-  // Returns an idle connection, or a new one. `recently_used` excludes
-  // connections without a response within kRecentUseLimit. Connections in
-  // `excluded` stay idle for other calls.
+  // Returns an idle connection, or a new one. `is_repeatable` also allows
+  // connections without a response within kRecentUseLimit, and those with a
+  // response that named no call. Connections in `excluded` stay idle for other
+  // calls.
   std::shared_ptr<HttpClient> Take(
-      bool recently_used,
+      bool is_repeatable,
       const std::vector<std::weak_ptr<HttpClient>>& excluded,
       BootTime now);
   // Keeps the connection if it can be used again.
--- a/packages/entry/response_match.h
+++ b/packages/entry/response_match.h
@@ -11,7 +11,7 @@
   // It names this call.
   kOwn,
   // It names no call. It belongs to this one if all earlier responses on the
-  // connection named their calls, so the connection must not be used again.
+  // connection named their calls.
   kUnidentified,
   // It names another call.
   kOther,
