Close the connection of a call that was not sent

Cause, by reading: since a connection whose call was not sent went back into the pool without a response, where it hides the connections before it from requests that may run once. Only the renewals over known connections, which gave up, needed it open.

--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -239,9 +239,7 @@
   const Handler handler = std::exchange(handler_, nullptr);
   HttpResponse empty_response;
   const std::unique_ptr<HttpResponseParser> parser = std::move(parser_);
-  const bool is_idle =
-      result == HttpCallResult::kAnswered || result == HttpCallResult::kNotSent;
-  if (!is_idle || unusable_)
+  if (result != HttpCallResult::kAnswered || unusable_)
     Close();
   else
     WatchIdle();
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -30,8 +30,7 @@
   // The connection could not be opened in time, or for another reason. Nothing
   // was sent.
   kNotConnected,
-  // CallOptions::may_send returned false. Nothing was sent, and the connection
-  // stays open.
+  // CallOptions::may_send returned false. Nothing was sent.
   kNotSent,
   // The connection was lost after bytes may have been sent.
   kConnectionLost,
@@ -41,8 +40,8 @@
 };
 
 // Opens a connection with the first call and carries one call at a time. A
-// client is not reusable after a failure other than kNotSent, or if the server
-// will close the connection.
+// client is not reusable after a failure, or if the server will close the
+// connection.
 //
 //   auto client = HttpClient::Create(io, endpoint);
 //   client->Call(bytes, options,
