Keep the connection of a key call that is answered without an id

Since such a response ended its connection, so that each renewal opened one.

Change: only the response to a request without an id ends its connection.

--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -268,8 +268,8 @@
                    id = request.request_id](const HttpResponse& response) {
     return protocol_.MatchResponse(response, id);
   };
-  // Upstreams reject requests without naming them at times. Such a connection
-  // is kept for requests that are repeatable.
+  // Nothing could tell a late copy of the response to a request without an id
+  // from the next response.
   options.ends_when_unidentified = request.request_id.empty();
   ArmTimer(request, now);
   request.client->Call(
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -63,7 +63,7 @@
     // unset, every response is accepted.
     std::function<ResponseMatch(const HttpResponse&)> match;
     // Whether a response that names no call ends the connection.
-    bool ends_when_unidentified = true;
+    bool ends_when_unidentified = false;
     // Called right before the request is written; false ends the call with
     // kNotSent. If unset, the request is sent.
     std::function<bool()> may_send;
