--- a/packages/upstreams/upstream_leader.cc
+++ b/packages/upstreams/upstream_leader.cc
@@ -535,26 +535,6 @@
   EndRequest(ticket, std::move(result), SlotResult::kFailed);
 }
 
-void UpstreamLeader::DeliverHeldResults(BootTime now, bool all) {
-  std::vector<HeldResult> released;
-  std::erase_if(held_results_, [&](HeldResult& held) {
-    if (!all && held.until > now)
-      return false;
-    released.push_back(std::move(held));
-    return true;
-  });
-  for (HeldResult& held : released)
-    held.callback(std::move(held.result));
-}
-
-void UpstreamLeader::OnMarked(const std::vector<std::uint64_t>& fingerprints) {
-  for (HeldResult& held : held_results_) {
-    if (std::ranges::find(fingerprints, held.fingerprint) != fingerprints.end())
-      held.until = BootTime();
-  }
-  DeliverHeldResults(BootClock::now(), false);
-}
-
 bool UpstreamLeader::Cancel(std::uint64_t ticket) {
   const auto found = items_.find(ticket);
   if (found == items_.end())
--- a/packages/upstreams/upstream_leader_control.cc
+++ b/packages/upstreams/upstream_leader_control.cc
@@ -1,5 +1,5 @@
-// UpstreamLeader: grants, clock readings, probes, loss of the upstream, drains
-// and table changes.
+// UpstreamLeader: grants, clock readings, probes, loss of the upstream and the
+// results held because of it, drains and table changes.
 
 #include <algorithm>
 #include <cassert>
@@ -315,6 +315,26 @@
     pool_.Discard(std::exchange(call.connection, nullptr));
 }
 
+void UpstreamLeader::DeliverHeldResults(BootTime now, bool all) {
+  std::vector<HeldResult> released;
+  std::erase_if(held_results_, [&](HeldResult& held) {
+    if (!all && held.until > now)
+      return false;
+    released.push_back(std::move(held));
+    return true;
+  });
+  for (HeldResult& held : released)
+    held.callback(std::move(held.result));
+}
+
+void UpstreamLeader::OnMarked(const std::vector<std::uint64_t>& fingerprints) {
+  for (HeldResult& held : held_results_) {
+    if (std::ranges::find(fingerprints, held.fingerprint) != fingerprints.end())
+      held.until = BootTime();
+  }
+  DeliverHeldResults(BootClock::now(), false);
+}
+
 void UpstreamLeader::OnIdleConnectionEnded(bool orderly) {
   // A server may close idle connections in order at any time. A crashed server
   // ends all of them; the next request or probe detects it.
--- a/packages/upstreams/upstream_sender_test.cc
+++ b/packages/upstreams/upstream_sender_test.cc
@@ -8,165 +8,14 @@
 
 #include <catch2/catch.hpp>
 
-#include "base/bounded_ring.h"
 #include "routing/fingerprint.h"
-#include "upstreams/fake_upstream_test.h"
+#include "upstreams/upstream_sender_fixture_test.h"
 
 namespace pollenrudder {
 namespace {
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::seconds kTimeout{10};
-constexpr LogOffset kFence = 7;
-constexpr LogOffset kPlacedOffset = 9;
-
-// Records the events of the sender.
-class RecordingListener : public UpstreamListener {
- public:
-  void OnUpstreamObserved(UpstreamObserved event) override {
-    observed.Push(std::move(event));
-  }
-  void OnFingerprintConfirmed(FingerprintConfirmed event) override {
-    confirmed.Push(std::move(event));
-  }
-  void OnDrainFinished(DrainFinished event) override {
-    drained.Push(std::move(event));
-  }
-  void OnLoadReported(LoadReported event) override {
-    loads.Push(std::move(event));
-  }
-
-  // Skips events until `state` is observed.
-  UpstreamObserved WaitFor(UpstreamObserved::State state) {
-    while (true) {
-      auto event = observed.PopFor(kTimeout);
-      REQUIRE(event);
-      if (event->state == state)
-        return *event;
-    }
-  }
-
-  BoundedRing<UpstreamObserved> observed{1024};
-  BoundedRing<FingerprintConfirmed> confirmed{64};
-  BoundedRing<DrainFinished> drained{64};
-  BoundedRing<LoadReported> loads{64};
-};
-
-FakeUpstream::Reply RespondOk(const std::string& request) {
-  return {FakeUpstream::MakeResponse(request, "ok")};
-}
-
-// An UpstreamSender that leads one upstream of a service with four shards.
-class Fixture {
- public:
-  explicit Fixture(FakeUpstream::Script script = RespondOk,
-                   const std::function<void(ServiceSettings&)>& change = {})
-      : upstream(std::move(script)) {
-    settings.name = "geodata";
-    settings.path_prefix = "/geodata/";
-    settings.is_sharded = true;
-    settings.shards = 4;
-    settings.slots = 2;
-    settings.connections = 4;
-    settings.deadline = 5s;
-    if (change)
-      change(settings);
-    sender = UpstreamSender::Create({"here.1", "region"}, listener, *metrics);
-    sender->SetTable(
-        Table({kPlacedOffset, kPlacedOffset, kPlacedOffset, kPlacedOffset}));
-    SetLease(10s);
-  }
-
-  RoutingTablePointer Table(std::vector<LogOffset> offsets) const {
-    auto table = std::make_shared<RoutingTable>();
-    RoutedUpstream routed;
-    routed.name = "geo-1";
-    routed.service = settings.name;
-    routed.zone = "zone";
-    routed.region = "region";
-    routed.address = upstream.address();
-    routed.term = fence;
-    routed.leader_fence = fence;
-    routed.leader = "here.1";
-    table->upstreams = {routed};
-    RoutedService service;
-    service.settings = settings;
-    service.upstreams = {0};
-    if (settings.is_sharded) {
-      service.shard_owners.assign(settings.shards, 0);
-      service.shard_offsets = std::move(offsets);
-    }
-    table->services.emplace(settings.name, service);
-    return table;
-  }
-
-  void SetLease(std::chrono::nanoseconds left) {
-    sender->ApplyLease({"geo-1", fence, BootClock::now() + left});
-  }
-
-  void BeginNextTerm() {
-    ++fence;
-    sender->SetTable(
-        Table({kPlacedOffset, kPlacedOffset, kPlacedOffset, kPlacedOffset}));
-    SetLease(10s);
-  }
-
-  UpstreamRequest Request(const std::string& method = "GET",
-                          const std::string& body = "") const {
-    UpstreamRequest request;
-    request.service = settings.name;
-    request.upstream = "geo-1";
-    if (settings.is_sharded)
-      request.shard = 1;
-    request.epoch = settings.is_sharded ? kPlacedOffset : kFence;
-    request.deadline = BootClock::now() + settings.deadline;
-    auto http = std::make_shared<HttpRequest>();
-    http->method = method;
-    http->target = "/geodata/key-1";
-    http->header_lines = "Host: geodata\r\n";
-    http->body = body;
-    request.http = std::move(http);
-    return request;
-  }
-
-  std::future<UpstreamResult> Send(UpstreamRequest request) {
-    auto promise = std::make_shared<std::promise<UpstreamResult>>();
-    auto future = promise->get_future();
-    last_ticket =
-        sender->Submit(std::move(request), [promise](UpstreamResult result) {
-          promise->set_value(std::move(result));
-        });
-    return future;
-  }
-
-  std::string IssueId() {
-    std::promise<IssuedIds> promise;
-    sender->Issue("geo-1", 1, 1,
-                  [&](IssuedIds ids) { promise.set_value(std::move(ids)); });
-    const IssuedIds ids = promise.get_future().get();
-    REQUIRE(ids.ids.size() == 1);
-    return ids.ids[0];
-  }
-
-  LogOffset fence = kFence;
-  ServiceSettings settings;
-  FakeUpstream upstream;
-  RecordingListener listener;
-  std::unique_ptr<Metrics> metrics = Metrics::Create();
-  std::unique_ptr<UpstreamSender> sender;
-  std::uint64_t last_ticket = 0;
-};
-
-UpstreamResult Get(std::future<UpstreamResult>& future) {
-  REQUIRE(future.wait_for(kTimeout) == std::future_status::ready);
-  return future.get();
-}
-
-UpstreamResult Get(std::future<UpstreamResult>&& future) {
-  return Get(future);
-}
-
 std::chrono::milliseconds RunBeforeOf(const std::string& request) {
   return std::chrono::milliseconds(
       std::stoll(FakeUpstream::Header(request, "Pollenrudder-Run-Before")));
@@ -176,7 +25,7 @@
 // accepted it.
 TEST_CASE("a grant precedes the first request, which has all control headers") {
   const BootTime started = BootClock::now();
-  Fixture fixture;
+  SenderFixture fixture;
   const UpstreamResult result = Get(fixture.Send(fixture.Request()));
   REQUIRE_FALSE(result.error);
   REQUIRE(result.response.body == "ok");
@@ -200,7 +49,7 @@
 // Guards against an upstream that starts a request after the lease has expired.
 TEST_CASE("run-before is never later than the lease expiry") {
   const BootTime started = BootClock::now();
-  Fixture fixture;
+  SenderFixture fixture;
   REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
   fixture.SetLease(300ms);
   REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
@@ -273,7 +122,7 @@
   };
   for (const InvalidResponseCase& row : table) {
     INFO(row.name);
-    Fixture fixture(row.reply);
+    SenderFixture fixture(row.reply);
     const UpstreamResult result = Get(fixture.Send(fixture.Request()));
     REQUIRE(result.error == row.error);
     REQUIRE(result.response.body.empty());
@@ -283,7 +132,7 @@
 // Guards against a late response that is matched to the next request on the
 // connection.
 TEST_CASE("extra bytes after a response close the connection") {
-  Fixture fixture([](const std::string& request) {
+  SenderFixture fixture([](const std::string& request) {
     return FakeUpstream::Reply{FakeUpstream::MakeResponse(request, "ok") +
                                "HTTP/1.1 200 OK\r\n"};
   });
@@ -294,7 +143,7 @@
 // Guards against a refusal that is reported as unknown, and against "not run"
 // without a statement of the upstream.
 TEST_CASE("only a 503 with the not-run header is a refusal") {
-  Fixture fixture([](const std::string& request) {
+  SenderFixture fixture([](const std::string& request) {
     const bool marked = request.starts_with("GET");
     return FakeUpstream::Reply{
         "HTTP/1.1 503 Busy\r\nPollenrudder-Request-Id: " +
@@ -313,7 +162,7 @@
 // earlier one had been used, and against "unknown" for a request that was never
 // connected.
 TEST_CASE("a request to an unreachable upstream is reported as not run") {
-  Fixture fixture;
+  SenderFixture fixture;
   REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
   fixture.upstream.Crash();
   fixture.listener.WaitFor(UpstreamObserved::State::kLost);
@@ -324,7 +173,7 @@
 // Guards against more requests at an upstream than it has slots.
 TEST_CASE("the limits of slots and connections are not exceeded") {
   Gate gate;
-  Fixture fixture([&gate](const std::string& request) {
+  SenderFixture fixture([&gate](const std::string& request) {
     gate.Wait();
     return RespondOk(request);
   });
@@ -345,7 +194,7 @@
 // the leader.
 TEST_CASE("a queued request is not sent after the lease expired") {
   Gate gate;
-  Fixture fixture(
+  SenderFixture fixture(
       [&gate](const std::string& request) {
         gate.Wait();
         return RespondOk(request);
@@ -364,7 +213,7 @@
 // Guards against requests to an upstream whose fence or shard epoch has
 // changed.
 TEST_CASE("a request with another epoch is refused as moved") {
-  Fixture fixture;
+  SenderFixture fixture;
   UpstreamRequest request = fixture.Request();
   request.epoch = kPlacedOffset - 1;
   REQUIRE(Get(fixture.Send(request)).error == ErrorKind::kNotRunMoved);
@@ -380,7 +229,7 @@
 TEST_CASE(
     "a deadline ends a queued request as not run and a sent one as unknown") {
   Gate gate;
-  Fixture fixture(
+  SenderFixture fixture(
       [&gate](const std::string& request) {
         gate.Wait();
         return RespondOk(request);
@@ -404,7 +253,7 @@
 // drained shard that accepts new requests.
 TEST_CASE("a drain waits for requests in flight and blocks new requests") {
   Gate gate;
-  Fixture fixture([&gate](const std::string& request) {
+  SenderFixture fixture([&gate](const std::string& request) {
     gate.Wait();
     return RespondOk(request);
   });
@@ -433,7 +282,7 @@
 // Guards against a shard that moves while a canceled request may still start.
 TEST_CASE("a canceled request keeps its shard busy until run-before") {
   Gate gate;
-  Fixture fixture([&gate](const std::string& request) {
+  SenderFixture fixture([&gate](const std::string& request) {
     gate.Wait();
     return RespondOk(request);
   });
@@ -451,7 +300,7 @@
 TEST_CASE(
     "a request with an issued id runs once and a repeat gets its response") {
   int runs = 0;
-  Fixture fixture([&runs](const std::string& request) {
+  SenderFixture fixture([&runs](const std::string& request) {
     return FakeUpstream::Reply{
         FakeUpstream::MakeResponse(request, "run " + std::to_string(++runs))};
   });
@@ -471,7 +320,7 @@
 // id of the repeat, and would pass for the answer to it on the same connection.
 TEST_CASE("a repeat does not follow its refusal on the same connection") {
   int sends = 0;
-  Fixture fixture([&sends](const std::string& request) {
+  SenderFixture fixture([&sends](const std::string& request) {
     if (++sends > 1)
       return FakeUpstream::Reply{FakeUpstream::MakeResponse(request, "ran")};
     return FakeUpstream::Reply{
@@ -491,7 +340,7 @@
 // Guards against a grant that counts as accepted because of a late copy of the
 // response to a request: a response to a grant has no id.
 TEST_CASE("a grant is the first call on its connection") {
-  Fixture fixture;
+  SenderFixture fixture;
   REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
   fixture.BeginNextTerm();
   REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
@@ -505,7 +354,7 @@
 // its outcome became unknown.
 TEST_CASE("a repeat of an unfinished or lost request does not run") {
   Gate gate;
-  Fixture fixture([&gate](const std::string&) {
+  SenderFixture fixture([&gate](const std::string&) {
     gate.Wait();
     return FakeUpstream::Reply{"", false, true};
   });
@@ -524,7 +373,7 @@
 // caller gets no result before the mark is in force.
 TEST_CASE("a lost upstream reports suspects and holds back their results") {
   Gate gate;
-  Fixture fixture([&gate](const std::string& request) {
+  SenderFixture fixture([&gate](const std::string& request) {
     gate.Wait();
     return RespondOk(request);
   });
@@ -548,7 +397,7 @@
 // Guards against a quarantined request that reaches an upstream.
 TEST_CASE("a quarantined request is refused and a suspect runs alone") {
   Gate gate;
-  Fixture fixture([&gate](const std::string& request) {
+  SenderFixture fixture([&gate](const std::string& request) {
     gate.Wait();
     return RespondOk(request);
   });
@@ -572,7 +421,7 @@
 TEST_CASE(
     "a slow request does not mark an upstream lost while probes succeed") {
   Gate gate;
-  Fixture fixture([&gate](const std::string& request) {
+  SenderFixture fixture([&gate](const std::string& request) {
     gate.Wait();
     return RespondOk(request);
   });
@@ -586,7 +435,7 @@
 // Guards against an undetected frozen upstream, which keeps its connections
 // open.
 TEST_CASE("an unresponsive upstream is lost within 0.7 s") {
-  Fixture fixture;
+  SenderFixture fixture;
   REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
   fixture.upstream.Freeze();
   const BootTime sent = BootClock::now();
@@ -601,7 +450,7 @@
 
 // Guards against a planner without load data.
 TEST_CASE("load reports contain the busiest shards") {
-  Fixture fixture;
+  SenderFixture fixture;
   REQUIRE_FALSE(Get(fixture.Send(fixture.Request())).error);
   const auto report = fixture.listener.loads.PopFor(kTimeout);
   REQUIRE(report);
