Renew over known connections again, and move keys within the lease

The former leader may send a grant at the end of its lease to a process that has just restarted; if it takes effect seconds later, two upstreams hold the keys.

The connection of a call that was not sent stays open for key calls only, so that the pools of requests never get one.

--- a/packages/entry/grant_driver.cc
+++ b/packages/entry/grant_driver.cc
@@ -524,6 +524,7 @@
                                                        : durations_.grant_ttl;
   options.connect_timeout = durations_.call_timeout;
   options.reset_on_timeout = true;
+  options.stays_open_if_not_sent = true;
   options.body_limit = kMaxKeyResponseBytes;
   options.may_send = [this, id = call.id, client = client.get()] {
     return coordinator_.MaySend(id, client->connected_at(), BootClock::now());
--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -239,7 +239,10 @@
   const Handler handler = std::exchange(handler_, nullptr);
   HttpResponse empty_response;
   const std::unique_ptr<HttpResponseParser> parser = std::move(parser_);
-  if (result != HttpCallResult::kAnswered || unusable_)
+  const bool is_idle =
+      result == HttpCallResult::kAnswered ||
+      (result == HttpCallResult::kNotSent && options_.stays_open_if_not_sent);
+  if (!is_idle || unusable_)
     Close();
   else
     WatchIdle();
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -30,7 +30,8 @@
   // The connection could not be opened in time, or for another reason. Nothing
   // was sent.
   kNotConnected,
-  // CallOptions::may_send returned false. Nothing was sent.
+  // CallOptions::may_send returned false. Nothing was sent. The connection
+  // stays open if CallOptions::stays_open_if_not_sent is set.
   kNotSent,
   // The connection was lost after bytes may have been sent.
   kConnectionLost,
@@ -40,8 +41,8 @@
 };
 
 // Opens a connection with the first call and carries one call at a time. A
-// client is not reusable after a failure, or if the server will close the
-// connection.
+// client is not reusable after a failure, unless the connection stays open, or
+// if the server will close the connection.
 //
 //   auto client = HttpClient::Create(io, endpoint);
 //   client->Call(bytes, options,
@@ -67,6 +68,8 @@
     // Called right before the request is written; false ends the call with
     // kNotSent. If unset, the request is sent.
     std::function<bool()> may_send;
+    // Whether the connection stays open if the call is not sent.
+    bool stays_open_if_not_sent = false;
     // Resets the connection on a timeout, so that bytes in flight do not
     // arrive.
     bool reset_on_timeout = false;
--- a/packages/entry/http_client_test.cc
+++ b/packages/entry/http_client_test.cc
@@ -69,6 +69,33 @@
   ResponseBudget budget{4 << 20};
 };
 
+// Guards against a renewal of a grant that is never sent: each withheld call
+// closed the connection, and the next one would be too new again.
+TEST_CASE("HttpClient keeps the connection of a call that is not sent") {
+  Fixture fixture;
+  ScriptedServer server(fixture.io, [](const std::string& head, int) {
+    return ScriptedResponse{ResponseTo(head, "sent"), "", {}};
+  });
+  const auto client = fixture.MakeClient(server);
+  const BootTime started_at = BootClock::now();
+  HttpClient::CallOptions options;
+  options.may_send = [] { return false; };
+  options.stays_open_if_not_sent = true;
+  std::optional<HttpCallResult> result;
+  client->Call("GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n", std::move(options),
+               [&](HttpCallResult ended, HttpResponse&) { result = ended; });
+  RunUntil(fixture.io, [&] { return result.has_value(); });
+  CHECK(result == HttpCallResult::kNotSent);
+  REQUIRE(client->IsReusable());
+  const BootTime connected_at = client->connected_at();
+  CHECK(connected_at > started_at);
+  const auto outcome = fixture.Call(client, "2");
+  REQUIRE(outcome);
+  CHECK(outcome->body == "sent");
+  CHECK(client->connected_at() == connected_at);
+  CHECK(server.connections() == 1);
+}
+
 // Guards against a second copy of a response that arrives late, on a connection
 // that is in use again, and reaches the next caller.
 TEST_CASE("HttpClient skips a late copy of an earlier response") {
--- a/packages/grants/grant_coordinator.cc
+++ b/packages/grants/grant_coordinator.cc
@@ -339,9 +339,11 @@
   // them.
   const bool wait_is_over =
       term_->change_delay.count() > 0 && now >= changes_allowed_from_;
-  const bool renewal_is_due = other_is_preferred_ && now >= next_term_renewal_;
+  const bool renewal_is_due =
+      (other_is_preferred_ || needs_term_renewal_) && now >= next_term_renewal_;
   if (!wait_is_over && !renewal_is_due)
     return std::nullopt;
+  needs_term_renewal_ = false;
   next_term_renewal_ = now + kTermRenewalInterval;
   GrantTermRecord renewal = *term_;
   if (wait_is_over)
@@ -403,6 +405,7 @@
   transferring_ = false;
   term_confirmed_at_ = {};
   term_appended_at_ = {};
+  needs_term_renewal_ = false;
   changes_allowed_from_ = {};
   unknown_grants_until_ = {};
   unknown_append_.reset();
@@ -505,6 +508,11 @@
   return std::max(term_confirmed_at_, term_appended_at_ + kExclusiveTime);
 }
 
+BootTime GrantCoordinator::OtherTermsExcludedUntil(const RowState& row) const {
+  return row.unconfirmed_token ? row.lost_terms_excluded_until
+                               : OtherTermsExcludedUntil();
+}
+
 bool GrantCoordinator::ShouldClaim(BootTime now) const {
   // The leader of the former log, if it is still there, continues at once.
   if (replaced_log_ && !NeedsLog() && !is_leader_ && !stopping_) {
--- a/packages/grants/grant_coordinator.h
+++ b/packages/grants/grant_coordinator.h
@@ -36,12 +36,19 @@
 //   An instance whose term is not the newest can change nothing.
 // - The leader sends calls only within `leader_lease_duration` after it sent a
 //   store call that confirmed its term. A new leader renews the recorded grants
-//   at once, for the same owners, with a token of its own term, so that they
-//   reject late grants of the former one. It changes an assignment only when
-//   the former leader's lease has expired: an upstream may restart under its
-//   name and forget the token, and would accept renewals of the former leader
-//   again. It does not wait for a leader that resigned or that was an earlier
-//   incarnation of the same instance, but inherits the wait of that one.
+//   at once, for the same owners, with a token of its own term. It changes an
+//   assignment only when the former leader's lease has expired, or when the
+//   owner has accepted that token, is still listed and so rejects the former
+//   leader's grants. It does not wait for a leader that resigned or that was an
+//   earlier incarnation of the same instance, but inherits the wait of that
+//   one.
+// - An upstream that restarts under its name forgets the tokens that it has
+//   accepted. So the leader renews a grant only over a connection that it
+//   opened before any other instance can have begun a later term: such a
+//   connection ends with the process that accepted the later leader's token.
+//   MaySend() decides this for each connection. Grants of keys that are moving
+//   need no such connection, because a new leader leaves these keys alone until
+//   the lease of the former one has expired.
 // - Keys go to a new owner when the former one has released them or its grants
 //   have expired, and no unanswered grant can still take effect there; or when
 //   another upstream responds at its address. The time of a grant runs from its
@@ -130,7 +137,8 @@
                          const UpstreamIncarnation& upstream);
   // Whether the call that Poll() returned with `id` may be sent now, over a
   // connection that was established by `connected_at`. If not, it has to end
-  // with KeyCallResult::kWithheld.
+  // with KeyCallResult::kWithheld, and the connection should stay open: the
+  // call follows once the term is appended again.
   bool MaySend(std::uint64_t id, BootTime connected_at, BootTime now) const;
   // `handover` is the data that a release returned.
   void OnCallEnded(std::uint64_t id,
@@ -215,8 +223,9 @@
     // Valid with unconfirmed_token: no other instance has begun a term on the
     // lost part of the log before this time.
     BootTime lost_terms_excluded_until{};
-    // Set after the log was replaced: no other leader can have changed the move
-    // of this row.
+    // The former owner accepted a grant of this term, so it rejects those of
+    // earlier leaders; or no other leader can have changed the move of this row
+    // on the lost part of a replaced log.
     bool former_confirmed = false;
     // The former owner released the keys.
     bool released = false;
@@ -231,7 +240,8 @@
     // The owner rejected a grant because it has accepted a higher token.
     bool fenced = false;
     BootTime next_grant{};
-    // When a renewal was withheld last.
+    // When a renewal was withheld last. The next one is sent once no other
+    // instance can have begun a term before this time.
     BootTime withheld_at{};
     std::uint32_t failures = 0;
   };
@@ -312,6 +322,8 @@
   static void CarryExpiries(const RowState& old, RowState& next);
   // No other instance has begun a term before the returned time.
   BootTime OtherTermsExcludedUntil() const;
+  // As above, for terms whose leader could have moved the keys of `row`.
+  BootTime OtherTermsExcludedUntil(const RowState& row) const;
   // Builds the row states for `table`, keeping the state of rows that overlap
   // earlier ones.
   void UpdateRowStates(ServiceState& state, const KeyTable& table) const;
@@ -379,6 +391,13 @@
   // may still send one.
   std::vector<KeyRange> PinnedRows(const ServiceState& state,
                                    BootTime now) const;
+  // Returns whether the former leader can no longer grant the keys of `row`.
+  bool MayChangeOwner(const RowState& row, BootTime now) const;
+  // Returns whether `upstream`, which has accepted a grant of this term, still
+  // rejects those of earlier leaders. One that is not listed any more may have
+  // restarted at its address and have forgotten the token.
+  bool RejectsEarlierLeaders(const UpstreamIncarnation& upstream,
+                             const GrantExpiry& expiry) const;
   // Returns whether the keys of a moving row may be assigned to yet another
   // owner.
   bool MayReassign(const RowState& row, BootTime now) const;
@@ -443,6 +462,9 @@
   // When the last append that contained a record of this leader's term was
   // sent.
   BootTime term_appended_at_{};
+  // A call was withheld since then. An append of the term lets the following
+  // calls go over new connections for a while.
+  bool needs_term_renewal_ = false;
   BootTime changes_allowed_from_{};
   // The offset at which this term began; valid while this instance is the
   // leader.
--- a/packages/grants/grant_coordinator_rows.cc
+++ b/packages/grants/grant_coordinator_rows.cc
@@ -33,6 +33,7 @@
   next.unrecorded_owner_until = old.unrecorded_owner_until;
   if (next.row.former == old_owner) {
     next.former_expiry = old.owner_expiry;
+    next.former_confirmed = old.grant_accepted;
     return;
   }
   if (old.row.former && next.row.former == old.row.former) {
@@ -154,6 +155,7 @@
     if (result == KeyCallResult::kWithheld) {
       row.withheld_at = now;
       row.next_grant = now;
+      needs_term_renewal_ = true;
       continue;
     }
     if (++row.failures >= kMaxFailures)
@@ -180,7 +182,7 @@
       rows, call.keys.first, {},
       [](const RowState& known) { return known.row.keys.last; });
   for (; row != rows.end() && row->row.keys.Overlaps(call.keys); ++row) {
-    if (row->unconfirmed_token && connected_at > row->lost_terms_excluded_until)
+    if (!row->row.moving && connected_at > OtherTermsExcludedUntil(*row))
       return false;
   }
   return true;
@@ -234,8 +236,7 @@
       continue;
     }
     if (now < row.next_grant || row.owner_expiry.HasCallPending() ||
-        (row.unconfirmed_token &&
-         row.withheld_at > row.lost_terms_excluded_until))
+        row.withheld_at > OtherTermsExcludedUntil(row))
       continue;
     if (const ListedUpstream* owner = FindIncarnation(row.row.owner))
       SendGrant(service, row, *owner, now, actions);
@@ -246,7 +247,10 @@
                                      RowState& row,
                                      BootTime now,
                                      GrantActions& actions) {
-  if (now < changes_allowed_from_ && !row.former_confirmed)
+  if (now < changes_allowed_from_ &&
+      !(row.former_confirmed &&
+        (!row.row.former ||
+         RejectsEarlierLeaders(row.row.former->upstream, row.former_expiry))))
     return;
   if (row.row.former && !row.released && !row.release_call &&
       now >= row.next_release && now < row.former_expiry.end() &&
@@ -362,11 +366,23 @@
   return candidates;
 }
 
+bool GrantCoordinator::MayChangeOwner(const RowState& row, BootTime now) const {
+  return now >= changes_allowed_from_ ||
+         (row.grant_accepted && !row.row.moving &&
+          RejectsEarlierLeaders(row.row.owner, row.owner_expiry));
+}
+
+bool GrantCoordinator::RejectsEarlierLeaders(
+    const UpstreamIncarnation& upstream,
+    const GrantExpiry& expiry) const {
+  return expiry.HasIncarnationEnded() || FindIncarnation(upstream) != nullptr;
+}
+
 std::vector<KeyRange> GrantCoordinator::PinnedRows(const ServiceState& state,
                                                    BootTime now) const {
   std::vector<KeyRange> pinned;
   for (const RowState& row : state.rows) {
-    if (now < changes_allowed_from_ ||
+    if (!MayChangeOwner(row, now) ||
         row.owner_expiry.unanswered_end() > now + kMaxMoveInterruption)
       pinned.push_back(row.row.keys);
   }
@@ -431,7 +447,8 @@
     row.owner = move.to;
     row.token = token;
     row.moving = true;
-    if (now < changes_allowed_from_)
+    if (old == state.rows.end() ? now < changes_allowed_from_
+                                : !MayChangeOwner(*old, now))
       continue;
     if (old != state.rows.end()) {
       if (!MayReassign(*old, now))
