Serve a request of the largest legal size on machines of 120 MB

What callers saw: a single request of 64 MiB (max-body-bytes), alone and in calm, was answered with 413 (announced) or 503 (in chunks) on 120 MB, and with 503 (in chunks) on 160 MB.

Cause: a body in chunks was moved as it grew and therefore counted twice, and the reserve for ordinary messages took 15 of the 72 MiB of a machine of 120 MB.

Change: once a body of unknown length exceeds 128 KiB, the parser reserves the address space of the largest body, of which only the written part takes memory, and counts it once. The reserve is 1/16 of the memory, at least 2 MiB. The header and the buffers of the connection are left out of the largest body, so that one that can never fit gets 413 at once instead of 503 with Retry-After. An instance that cannot hold max-body-bytes logs body_limit_reduced and sets entry_body_limit_bytes.

The case "The limits follow from the memory of the process" asked for 57 MiB at 120 MB, which is the fault. It asks for a body of 64 MiB now; its other limits are unchanged.

--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -139,7 +139,7 @@
     if (!parser_) {
       limits_ = handler_.CurrentLimits();
       limits_.body_bytes = std::min<std::uint64_t>(
-          limits_.body_bytes, handler_.memory()->largest_charge_bytes());
+          limits_.body_bytes, handler_.memory()->largest_body_bytes());
       parser_ = std::make_unique<HttpRequestParser>(
           ParseLimits{limits_.header_bytes, limits_.body_bytes},
           no_body_limit_);
--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -122,6 +122,11 @@
 inline constexpr LogEvent kMemoryReclaimed{9042, "memory_connection_closed",
                                            LogLevel::kWarning};
 
+// The configuration allows larger bodies (`configured`) than the memory of this
+// instance (`limit`): requests with a larger body are refused.
+inline constexpr LogEvent kBodyLimitReduced{9048, "body_limit_reduced",
+                                            LogLevel::kWarning};
+
 // A request without a response was sent to a second upstream; `after_ms` is the
 // time since the first send.
 inline constexpr LogEvent kRequestHedged{9045, "entry_request_hedged",
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -171,12 +171,24 @@
                   {{"plan", configuration_->version},
                    {"routes", configuration_->route_count()},
                    {"services", configuration_->services.size()}});
+  ReportBodyLimit();
   forwarder_.SetConfiguration(configuration_, fleet_, instances_);
   grant_driver_.OnFleet(fleet_, *configuration_);
   OnKeysChanged(grant_driver_.coordinator());
   SendUpdate();
 }
 
+void EntryInstance::ReportBodyLimit() {
+  const std::uint64_t configured = configuration_->limits.body_bytes;
+  const auto limit =
+      std::min<std::uint64_t>(configured, memory_->largest_body_bytes());
+  metrics_->Set("entry_body_limit_bytes", {}, static_cast<double>(limit));
+  if (limit < configured) {
+    EventLog::Write(kBodyLimitReduced,
+                    {{"configured", configured}, {"limit", limit}});
+  }
+}
+
 std::vector<FleetChange> EntryInstance::ApplyChanges(
     const std::vector<FleetChange>& changes) {
   const BootTime now = BootClock::now();
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -99,6 +99,8 @@
   std::vector<FleetChange> ApplyChanges(
       const std::vector<FleetChange>& changes);
   void ApplyFleet();
+  // Reports the size of the largest body that is accepted.
+  void ReportBodyLimit();
   void SendUpdate();
   // Sends the present quarantine, if there is any, for instances that started
   // since or missed a message.
--- a/packages/entry/memory_account.cc
+++ b/packages/entry/memory_account.cc
@@ -15,8 +15,10 @@
 // The part of the rest that is not charged, for copies during a call, memory of
 // connections that are being closed, and gaps in the heap.
 constexpr std::size_t kUnchargedDivisor = 4;
-// The part of the memory that is reserved for ordinary messages.
-constexpr std::size_t kReserveDivisor = 8;
+// The part of the memory that is reserved for ordinary messages. It leaves room
+// for a body of 64 MiB in a process of 120 MiB.
+constexpr std::size_t kReserveDivisor = 16;
+constexpr std::size_t kMinReserveBytes = 2 << 20;
 
 }  // namespace
 
@@ -74,7 +76,7 @@
       memory_bytes - std::min(kProcessBytes, memory_bytes / 2);
   return std::make_shared<MemoryAccount>(
       for_messages - for_messages / kUnchargedDivisor,
-      memory_bytes / kReserveDivisor);
+      std::max(memory_bytes / kReserveDivisor, kMinReserveBytes));
 }
 
 bool MemoryAccount::MakeRoom(const Charge& charge,
--- a/packages/entry/memory_account.h
+++ b/packages/entry/memory_account.h
@@ -84,6 +84,11 @@
   std::size_t largest_charge_bytes() const {
     return limit_bytes_ - reserve_bytes_;
   }
+  // The largest body of a request that can be charged, with its header and the
+  // buffers of its connection.
+  std::size_t largest_body_bytes() const {
+    return largest_charge_bytes() - kOrdinaryBytes;
+  }
   std::uint64_t refused_count() const { return refused_count_; }
 
  private:
--- a/packages/entry/memory_account_test.cc
+++ b/packages/entry/memory_account_test.cc
@@ -47,16 +47,15 @@
   CHECK(account->used_bytes() == 0);
 }
 
-// Guards against limits with which an instance of 260 MB refuses a body of 64
-// MiB in chunks, which counts twice, or with which a small one has no room at
-// all.
+// Guards against limits with which an instance of 120 MB refuses a body of 64
+// MiB, or with which a small one has no room at all.
 TEST_CASE("The limits follow from the memory of the process") {
   constexpr std::size_t kLargestBody = 64 * kMiB;
   const auto usual = MemoryAccount::ForProcess(260 * kMiB);
   CHECK(usual->limit_bytes() == 177 * kMiB);
   CHECK(usual->largest_charge_bytes() > 2 * kLargestBody + (64U << 10));
-  CHECK(MemoryAccount::ForProcess(120 * kMiB)->largest_charge_bytes() ==
-        57 * kMiB);
+  CHECK(MemoryAccount::ForProcess(120 * kMiB)->largest_body_bytes() >=
+        kLargestBody);
   const auto smallest = MemoryAccount::ForProcess(16 * kMiB);
   CHECK(smallest->limit_bytes() == 6 * kMiB);
   CHECK(smallest->largest_charge_bytes() == 4 * kMiB);
--- a/packages/http/http_parser.cc
+++ b/packages/http/http_parser.cc
@@ -95,7 +95,7 @@
   std::size_t memory_bytes() const {
     const std::string& body = message_.body;
     return message_.header_lines.size() + message_.control_lines.size() +
-           (has_body_length_
+           (is_body_reserved_
                 ? std::max(body.size(),
                            std::min(body.capacity(),
                                     HttpRequestParser::kMappedBytes))
@@ -151,11 +151,10 @@
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code& error) override {
-    has_body_length_ = length.has_value();
     if (length && *length > body_bytes_)
       error = http::error::body_limit;
     else if (length)
-      message_.body.reserve(static_cast<std::size_t>(*length));
+      ReserveBody(*length);
   }
 
   std::size_t on_body_impl(BeastView body, error_code& error) override {
@@ -163,6 +162,10 @@
       error = http::error::body_limit;
       return 0;
     }
+    // Growing a large body by moving it would take twice its memory.
+    if (!is_body_reserved_ &&
+        message_.body.size() + body.size() > HttpRequestParser::kMovedBytes)
+      ReserveBody(body_bytes_);
     message_.body.append(body.data(), body.size());
     return body.size();
   }
@@ -179,12 +182,20 @@
 
   void on_finish_impl(error_code& /*error*/) override {}
 
+  // Reserves address space, of which only the part that is written takes
+  // memory.
+  void ReserveBody(std::uint64_t bytes) {
+    is_body_reserved_ = true;
+    message_.body.reserve(static_cast<std::size_t>(bytes));
+  }
+
   Message message_;
   std::uint64_t body_bytes_;
   int host_field_count_ = 0;
 
  private:
-  bool has_body_length_ = false;
+  // Whether the body is not moved any more when it grows.
+  bool is_body_reserved_ = false;
   const std::uint32_t header_bytes_;
   HeaderNames connection_options_;
 };
--- a/packages/http/http_parser.h
+++ b/packages/http/http_parser.h
@@ -58,9 +58,12 @@
   // Blocks of at least this size are assumed to be mapped one by one, so that
   // only the part that was written takes memory.
   static constexpr std::size_t kMappedBytes = 256 << 10;
+  // A body of unknown length is moved as it grows, up to this size. Beyond it,
+  // the block for the largest body is reserved.
+  static constexpr std::size_t kMovedBytes = kMappedBytes / 2;
 
-  // The bytes that the message takes so far. A body of unknown length counts
-  // twice: it is moved as it grows.
+  // The bytes that the message takes so far. A body that is moved as it grows
+  // counts twice.
   std::size_t memory_bytes() const;
   // Valid after kDone.
   HttpRequest& request();
--- a/packages/http/http_parser_test.cc
+++ b/packages/http/http_parser_test.cc
@@ -127,6 +127,20 @@
   CHECK(chunked.memory_bytes() == lines + 2 * size);
 }
 
+// Guards against a large body in chunks that is refused because it is held
+// twice while it grows.
+TEST_CASE("A large body of unknown length counts once") {
+  const HttpRequestParser::BodyLimit no_body_limit;
+  constexpr std::size_t kSize = 2 << 20;
+  const std::size_t lines = std::string("Host: a\r\n").size();
+  HttpRequestParser parser(ParseLimits{.body_bytes = 64 << 20}, no_body_limit);
+  REQUIRE(Parse(parser,
+                "POST / HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n200000\r\n" +
+                    std::string(kSize, 'x')) == ParseStatus::kNeedMore);
+  CHECK(parser.memory_bytes() == lines + kSize);
+}
+
 // Guards against a success with an empty or short body, framed as whole, after
 // an upstream stopped within the head of its response, or within a body with a
 // length, and closed the connection.
