Count connections and bytes that were not read toward the memory of an instance

What callers saw: nothing until the process is killed. The platform counts bytes that were received and not read toward memory-mb. 1,000 callers at an instance of 64 MB, which send a body of 1 MiB each while it is frozen, or do not read their responses, leave up to 64 KiB and more in each socket.

Cause: the receive buffers of callers had the system's default size, and the memory account knew neither them nor the connections themselves.

Change: the listening socket has a receive buffer of 16 KiB, which connections inherit. While a larger request is received, a connection has 64 KiB. An open connection is charged 24 KiB for its buffers and objects, the large buffer on top. When memory runs out, connections without progress for longest are closed, idle ones included; one that only waits for a response is left alone.

--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -26,6 +26,13 @@
 // because a caller that sends another request meanwhile must soon detect that
 // the request is not read.
 constexpr std::chrono::milliseconds kLingerTimeout{150};
+// What an open connection takes: the receive buffer, and objects and a read
+// buffer of about 5 KB.
+constexpr std::size_t kConnectionBytes =
+    CallerConnection::kReceiveBufferBytes + (8 << 10);
+// The receive buffer of a larger request. Connections cannot use more if their
+// listening socket has a small one.
+constexpr std::size_t kLargeReceiveBufferBytes = 64 << 10;
 // Responses are joined into one write up to this size.
 constexpr std::size_t kJoinedBytes = 64 << 10;
 
@@ -53,6 +60,10 @@
   boost::system::error_code ignored;
   socket_.non_blocking(true, ignored);
   idle_since_ = BootClock::now();
+  if (!UpdateCharge()) {
+    Close();
+    return;
+  }
   Read();
   ArmTimer();
 }
@@ -169,13 +180,15 @@
     const std::size_t request_bytes = parser_->memory_bytes();
     request->message = std::move(parser_->request());
     parser_.reset();
-    const BootTime now = BootClock::now();
     // The connection's charge is passed on to the request.
-    charge_.TryResize(HeldBytes(), now);
-    if (!request->charge.TryResize(request_bytes, now)) {
+    UpdateCharge();
+    if (!request->charge.TryResize(request_bytes, BootClock::now())) {
       RefuseForMemory();
       return;
     }
+    // The request may have taken the memory of its own connection.
+    if (closes_soon_)
+      return;
     pending_.push_back({next_sequence_++, request->message.method == "HEAD",
                         request->message.keep_alive, std::nullopt});
     last_request_read_ = !request->message.keep_alive;
@@ -186,7 +199,8 @@
   // Nothing after the last request is parsed, however much a caller sends.
   if (last_request_read_)
     buffer_.clear();
-  if (!charge_.TryResize(HeldBytes(), BootClock::now())) {
+  UpdateReceiveBuffer();
+  if (!UpdateCharge()) {
     RefuseForMemory();
     return;
   }
@@ -211,7 +225,7 @@
 void CallerConnection::EndWithError(ErrorKind kind) {
   parser_.reset();
   buffer_ = {};
-  charge_.TryResize(HeldBytes(), BootClock::now());
+  UpdateCharge();
   pending_.push_back({next_sequence_++, false, false, std::nullopt});
   last_request_read_ = true;
   SendResponse(pending_.back().sequence, handler_.MakeErrorResponse(kind),
@@ -235,6 +249,26 @@
          waiting_response_bytes_ + write_buffer_.size();
 }
 
+bool CallerConnection::UpdateCharge() {
+  const std::size_t held = HeldBytes();
+  // A caller that only waits for responses is not to blame.
+  charge_.SetReclaimable(held > 0 || pending_.empty());
+  return charge_.TryResize(
+      kConnectionBytes + held +
+          (has_large_receive_buffer_ ? kLargeReceiveBufferBytes : 0),
+      BootClock::now());
+}
+
+void CallerConnection::UpdateReceiveBuffer() {
+  const bool is_large =
+      parser_ && parser_->memory_bytes() > kReceiveBufferBytes;
+  if (is_large == has_large_receive_buffer_)
+    return;
+  has_large_receive_buffer_ = is_large;
+  SetReceiveBuffer(socket_,
+                   is_large ? kLargeReceiveBufferBytes : kReceiveBufferBytes);
+}
+
 void CallerConnection::CloseSoon() {
   if (closed_ || closes_soon_)
     return;
@@ -264,7 +298,7 @@
               (last_request_read_ && sequence == next_sequence_ - 1);
   it->response = FormatResponse(response, it->head_request, it->close);
   waiting_response_bytes_ += it->response->size();
-  if (!charge_.TryResize(HeldBytes(), BootClock::now())) {
+  if (!UpdateCharge()) {
     handler_.OnMemoryAction(
         CallerConnectionHandler::MemoryAction::kDropResponse, HeldBytes());
     CloseSoon();
@@ -323,7 +357,7 @@
   write_buffer_ = std::string();
   if (closed_ || closes_soon_)
     return;
-  charge_.TryResize(HeldBytes(), BootClock::now());
+  UpdateCharge();
   if (error) {
     if (!pending_.empty())
       handler_.OnCallerDisconnected(shared_from_this());
--- a/packages/entry/caller_connection.h
+++ b/packages/entry/caller_connection.h
@@ -40,6 +40,9 @@
  public:
   // Maximum number of unanswered requests; further ones are read later.
   static constexpr std::size_t kMaxPipelined = 32;
+  // The bytes that the system keeps of a caller until they are read; more while
+  // a larger request is received.
+  static constexpr std::size_t kReceiveBufferBytes = 16 << 10;
 
   static std::shared_ptr<CallerConnection> Create(
       boost::asio::ip::tcp::socket socket,
@@ -91,6 +94,10 @@
   // The bytes of the request that is being received and of the responses that
   // are not sent yet.
   std::size_t HeldBytes() const;
+  // Charges what the connection takes; false if it does not fit.
+  bool UpdateCharge();
+  // Uses a larger receive buffer while a large request is received.
+  void UpdateReceiveBuffer();
   // Refuses the request that is being received, which does not fit.
   void RefuseForMemory();
   // Frees what was received of a request and responds with `kind` as the last
@@ -128,6 +135,7 @@
   std::string write_buffer_;
   // Empty as soon as the account has taken the memory.
   MemoryAccount::Charge charge_;
+  bool has_large_receive_buffer_ = false;
   bool reading_ = false;
   bool closing_ = false;
   bool closed_ = false;
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -113,14 +113,14 @@
 EntryInstance::~EntryInstance() = default;
 
 Result<void> EntryInstance::Listen() {
-  auto acceptor =
-      SocketAcceptor::Listen(io_, settings_.caller_address,
-                             [this](boost::asio::ip::tcp::socket socket) {
-                               const auto connection = CallerConnection::Create(
-                                   std::move(socket), *this);
-                               connections_.insert(connection);
-                               connection->Start();
-                             });
+  auto acceptor = SocketAcceptor::Listen(
+      io_, settings_.caller_address, CallerConnection::kReceiveBufferBytes,
+      [this](boost::asio::ip::tcp::socket socket) {
+        const auto connection =
+            CallerConnection::Create(std::move(socket), *this);
+        connections_.insert(connection);
+        connection->Start();
+      });
   if (!acceptor)
     return acceptor.error();
   acceptor_ = std::move(acceptor.value());
--- a/packages/entry/http_server.cc
+++ b/packages/entry/http_server.cc
@@ -88,7 +88,7 @@
     Handler handler) {
   std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
   auto acceptor = SocketAcceptor::Listen(
-      io, address,
+      io, address, /*receive_buffer_bytes=*/0,
       [server = server.get()](boost::asio::ip::tcp::socket socket) {
         std::make_shared<Connection>(std::move(socket), server->handler_)
             ->Read();
--- a/packages/entry/memory_account.cc
+++ b/packages/entry/memory_account.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace pollenrudder {
@@ -24,7 +25,9 @@
 
 MemoryAccount::Charge::Charge(std::shared_ptr<MemoryAccount> account,
                               Holder* holder)
-    : account_(std::move(account)), holder_(holder) {}
+    : account_(std::move(account)),
+      holder_(holder),
+      reclaimable_(holder != nullptr) {}
 
 MemoryAccount::Charge::~Charge() {
   Clear();
@@ -40,10 +43,10 @@
     return false;
   }
   account_->used_bytes_ += bytes - bytes_;
-  if (holder_ != nullptr && bytes_ == 0) {
+  if (bytes_ == 0) {
     last_progress_ = now;
-    position_ =
-        account_->reclaimable_.insert(account_->reclaimable_.end(), this);
+    if (reclaimable_)
+      account_->AddReclaimable(*this);
   }
   bytes_ = bytes;
   return true;
@@ -53,18 +56,31 @@
   if (bytes_ == 0)
     return;
   account_->used_bytes_ -= std::exchange(bytes_, 0);
-  if (holder_ != nullptr)
+  if (reclaimable_)
     account_->reclaimable_.erase(position_);
 }
 
 void MemoryAccount::Charge::Touch(BootTime now) {
-  if (holder_ == nullptr || bytes_ == 0)
-    return;
   last_progress_ = now;
+  if (!reclaimable_ || bytes_ == 0)
+    return;
   account_->reclaimable_.splice(account_->reclaimable_.end(),
                                 account_->reclaimable_, position_);
 }
 
+void MemoryAccount::Charge::SetReclaimable(bool reclaimable) {
+  assert(holder_ != nullptr);
+  if (reclaimable == reclaimable_)
+    return;
+  reclaimable_ = reclaimable;
+  if (bytes_ == 0)
+    return;
+  if (reclaimable)
+    account_->AddReclaimable(*this);
+  else
+    account_->reclaimable_.erase(position_);
+}
+
 MemoryAccount::MemoryAccount(std::size_t limit_bytes, std::size_t reserve_bytes)
     : limit_bytes_(limit_bytes), reserve_bytes_(reserve_bytes) {
   assert(reserve_bytes <= limit_bytes);
@@ -106,6 +122,21 @@
   return true;
 }
 
+bool MemoryAccount::ReclaimStalest() {
+  if (reclaimable_.empty())
+    return false;
+  Reclaim(*reclaimable_.front());
+  return true;
+}
+
+void MemoryAccount::AddReclaimable(Charge& charge) {
+  auto position = reclaimable_.end();
+  while (position != reclaimable_.begin() &&
+         (*std::prev(position))->last_progress_ > charge.last_progress_)
+    --position;
+  charge.position_ = reclaimable_.insert(position, &charge);
+}
+
 void MemoryAccount::Reclaim(Charge& charge) {
   charge.Clear();
   charge.holder_->OnReclaimed();
--- a/packages/entry/memory_account.h
+++ b/packages/entry/memory_account.h
@@ -20,15 +20,15 @@
 // A charge that does not fit takes the memory of holders that have made no
 // progress for longest: a large one only from holders without progress for
 // kStallTime, an ordinary one from any. It is refused without effect if that
-// does not suffice.
+// does not suffice. Holders that wait for others are exempt.
 //
 // Has no clock and no sockets. Charges share the account, since operations of
 // the event loop may end after everything else.
 class MemoryAccount {
  public:
-  // A body of 64 KiB in chunks, which is counted twice because it moves when it
-  // grows, with its head and a read buffer.
-  static constexpr std::size_t kOrdinaryBytes = 160 << 10;
+  // A connection with a body of 64 KiB in chunks, which is counted twice
+  // because it moves when it grows, with its head and the buffers.
+  static constexpr std::size_t kOrdinaryBytes = 256 << 10;
   // Longer than the pauses of a caller that sends steadily over a slow link.
   static constexpr std::chrono::milliseconds kStallTime{500};
 
@@ -58,6 +58,9 @@
     void Clear();
     // Records progress of the holder.
     void Touch(BootTime now);
+    // Whether the memory may be taken, which is the default for a charge with a
+    // holder.
+    void SetReclaimable(bool reclaimable);
     std::size_t bytes() const { return bytes_; }
 
    private:
@@ -67,7 +70,9 @@
     Holder* const holder_;
     std::size_t bytes_ = 0;
     BootTime last_progress_{};
-    // Invariant: valid while the charge has a holder and is not empty.
+    // Invariant: false if the charge has no holder.
+    bool reclaimable_;
+    // Invariant: valid while the charge is reclaimable and not empty.
     std::list<Charge*>::iterator position_;
   };
 
@@ -78,6 +83,10 @@
   MemoryAccount(const MemoryAccount&) = delete;
   MemoryAccount& operator=(const MemoryAccount&) = delete;
 
+  // Takes the memory of the holder without progress for longest. Returns false
+  // if there is none.
+  bool ReclaimStalest();
+
   std::size_t used_bytes() const { return used_bytes_; }
   std::size_t limit_bytes() const { return limit_bytes_; }
   // The largest charge of an account that is otherwise empty.
@@ -95,6 +104,8 @@
   // Returns whether `growth` more bytes fit, after taking memory if necessary.
   bool MakeRoom(const Charge& charge, std::size_t growth, BootTime now);
   void Reclaim(Charge& charge);
+  // Adds the charge to `reclaimable_`, by its last progress.
+  void AddReclaimable(Charge& charge);
 
   const std::size_t limit_bytes_;
   const std::size_t reserve_bytes_;
--- a/packages/entry/memory_account_test.cc
+++ b/packages/entry/memory_account_test.cc
@@ -142,6 +142,27 @@
   CHECK(only.charge.bytes() == 8 * kMiB);
 }
 
+// Guards against callers that lose their response because others send more than
+// the memory holds.
+TEST_CASE_METHOD(Fixture, "Holders that wait for others keep their memory") {
+  Connection waiting(account);
+  Connection idle(account);
+  REQUIRE(waiting.charge.TryResize(64 << 10, kStart));
+  REQUIRE(idle.charge.TryResize(64 << 10, kStart + 1s));
+  waiting.charge.SetReclaimable(false);
+  CHECK(account->ReclaimStalest());
+  CHECK(idle.is_reclaimed);
+  CHECK_FALSE(account->ReclaimStalest());
+  CHECK(waiting.charge.bytes() == 64 << 10);
+  // It takes its former place again.
+  Connection late(account);
+  REQUIRE(late.charge.TryResize(64 << 10, kStart + 2s));
+  waiting.charge.SetReclaimable(true);
+  CHECK(account->ReclaimStalest());
+  CHECK(waiting.is_reclaimed);
+  CHECK_FALSE(late.is_reclaimed);
+}
+
 TEST_CASE_METHOD(Fixture, "A holder whose memory was taken may charge again") {
   Connection first(account);
   Connection second(account);
--- a/packages/entry/socket_acceptor.cc
+++ b/packages/entry/socket_acceptor.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/socket_address.h"
+#include "entry/socket_options.h"
 
 namespace pollenrudder {
 namespace {
@@ -17,6 +18,7 @@
 Result<std::unique_ptr<SocketAcceptor>> SocketAcceptor::Listen(
     boost::asio::io_context& io,
     const std::string& address,
+    std::size_t receive_buffer_bytes,
     Handler handler) {
   std::unique_ptr<SocketAcceptor> listener(
       new SocketAcceptor(io, std::move(handler)));
@@ -28,6 +30,8 @@
     acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true),
                         error);
   }
+  if (!error && receive_buffer_bytes > 0)
+    SetReceiveBuffer(acceptor, receive_buffer_bytes);
   if (!error)
     acceptor.bind(endpoint, error);
   if (!error)
--- a/packages/entry/socket_acceptor.h
+++ b/packages/entry/socket_acceptor.h
@@ -3,6 +3,7 @@
 #ifndef POLLENRUDDER_ENTRY_SOCKET_ACCEPTOR_H_
 #define POLLENRUDDER_ENTRY_SOCKET_ACCEPTOR_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,10 +23,12 @@
   using Handler = std::function<void(boost::asio::ip::tcp::socket)>;
 
   // Fails with kInvalidSettings if `address`, "ip:port", is in use. Port 0
-  // selects a free port.
+  // selects a free port. A `receive_buffer_bytes` of 0 is the system's default;
+  // see SetReceiveBuffer().
   static Result<std::unique_ptr<SocketAcceptor>> Listen(
       boost::asio::io_context& io,
       const std::string& address,
+      std::size_t receive_buffer_bytes,
       Handler handler);
 
   // The address with the port in use.
--- a/packages/entry/socket_options.cc
+++ b/packages/entry/socket_options.cc
@@ -35,6 +35,24 @@
   SetOption(socket, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
+void SetReceiveBuffer(boost::asio::ip::tcp::acceptor& acceptor,
+                      std::size_t bytes) {
+  boost::system::error_code ignored;
+  acceptor.set_option(
+      boost::asio::socket_base::receive_buffer_size(static_cast<int>(bytes)),
+      ignored);
+}
+
+void SetReceiveBuffer(boost::asio::ip::tcp::socket& socket, std::size_t bytes) {
+  boost::system::error_code ignored;
+  socket.set_option(
+      boost::asio::socket_base::receive_buffer_size(static_cast<int>(bytes)),
+      ignored);
+  // The system derives this bound from the buffer only when the connection is
+  // opened.
+  SetOption(socket, TCP_WINDOW_CLAMP, static_cast<int>(bytes));
+}
+
 void ResetConnection(boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/tests/system/platform_processes.py
+++ b/tests/system/platform_processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import resource
 import socket
 import struct
 import threading
@@ -85,7 +86,7 @@
 class PlatformDaemon(processes.Process):
     """pollenrudderd --platform with one route, "/", and one upstream."""
 
-    def __init__(self, folder, memory_mb, max_body_bytes):
+    def __init__(self, folder, memory_mb, max_body_bytes, max_fds=4100):
         self._server = http.server.ThreadingHTTPServer(
             ("127.0.0.1", 0), _Handler)
         self._server.daemon_threads = True
@@ -112,18 +113,25 @@
                          daemon=True).start()
         port = free_ports(4)
         self.caller = f"127.0.0.1:{port}"
+        # The ports of the daemon's internal listeners are fixed offsets from
+        # the first internal port.
+        self.listeners = {
+            "caller": self.caller, "ready": f"127.0.0.1:{port + 1}",
+            "instances": f"127.0.0.1:{port + 2}",
+            "metrics": f"127.0.0.1:{port + 3}"}
         settings = {
             "node-name": "front-a-1", "ip": "127.0.0.1", "zone": "a1",
             "zones": {"a1": "a"}, "internal-ports": [port + 2, port + 3],
             "listen": {"frontend": self.caller,
-                       "ready": f"127.0.0.1:{port + 1}"},
-            "limits": {"memory-mb": memory_mb},
+                       "ready": self.listeners["ready"]},
+            "limits": {"memory-mb": memory_mb, "max-fds": max_fds},
             "platform": {"address": address, "form": "log"}}
         path = os.path.join(folder, "settings.yaml")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         super().__init__("front-a-1", [
             processes.DAEMON, "--platform", "--settings", path], folder)
+        resource.prlimit(self.pid, resource.RLIMIT_NOFILE, (max_fds, max_fds))
         self.wait_for_output("name=plan_in_force")
         processes.wait_until(lambda: self.answers(b""), "the list is read")
 
@@ -141,10 +149,26 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def peak_resident_bytes(self):
+    def _status_bytes(self, name):
         with open(f"/proc/{self.pid}/status", encoding="utf-8") as file:
-            line = next(line for line in file if line.startswith("VmHWM:"))
+            line = next(line for line in file if line.startswith(name + ":"))
         return int(line.split()[1]) << 10
 
+    def resident_bytes(self):
+        return self._status_bytes("VmRSS")
+
+    def peak_resident_bytes(self):
+        return self._status_bytes("VmHWM")
+
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+    def sockets(self):
+        folder = f"/proc/{self.pid}/fd"
+        count = 0
+        for name in os.listdir(folder):
+            try:
+                count += os.readlink(f"{folder}/{name}").startswith("socket:")
+            except OSError:
+                pass  # Closed since it was listed.
+        return count
