Bound the connections to the listeners for probes, metrics and instances

What callers saw: an instance that ran out of memory or of descriptors, without anyone misbehaving at the listener of callers.

Cause: HttpServer accepted any number of connections, which stayed open without a request, and bodies of 16 MiB on each; its responses were not counted.

A body may have 1 KiB. Responses are charged to the memory account while they are written, and the receive buffer is 16 KiB. Stand-ins of the tests use the former limits.

--- a/packages/entry/configuration_relay_test.cc
+++ b/packages/entry/configuration_relay_test.cc
@@ -40,7 +40,7 @@
   // Starts the HTTP server of the source.
   void Listen() {
     auto listen_result = HttpServer::Listen(
-        io, address,
+        io, address, {},
         [this](const HttpRequest& request, const HttpServer::Respond& respond) {
           ++requests;
           respond(source.relay.HandleRequest(PathOf(request.target)));
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -30,6 +30,12 @@
 // Responses may take this part of the memory while they are received. They are
 // copied once more for the caller.
 constexpr std::size_t kResponseMemoryDivisor = 8;
+// The part of the sockets that may be connections to each listener other than
+// that of callers.
+constexpr std::size_t kOtherSocketsDivisor = 32;
+constexpr std::size_t kMinOtherSockets = 8;
+// The other listeners get no bodies.
+constexpr std::uint64_t kMaxProbeBodyBytes = 1 << 10;
 // When a caller may repeat a request that was refused for lack of memory.
 constexpr milliseconds kRetryAfterLackOfMemory{500};
 
@@ -124,17 +130,24 @@
   if (!acceptor)
     return acceptor.error();
   acceptor_ = std::move(acceptor.value());
+  const HttpServer::Options options{
+      .max_connections = std::max(settings_.max_sockets / kOtherSocketsDivisor,
+                                  kMinOtherSockets),
+      .body_bytes = kMaxProbeBodyBytes,
+      .receive_buffer_bytes = CallerConnection::kReceiveBufferBytes,
+      .memory = memory_};
   const auto handle_probe = [this](const HttpRequest& request,
                                    const HttpServer::Respond& respond) {
     respond(HandleProbe(PathOf(request.target)));
   };
-  auto probe = HttpServer::Listen(io_, settings_.probe_address, handle_probe);
+  auto probe =
+      HttpServer::Listen(io_, settings_.probe_address, options, handle_probe);
   if (!probe)
     return probe.error();
   probe_server_ = std::move(probe.value());
   if (!settings_.metrics_address.empty()) {
-    auto metrics =
-        HttpServer::Listen(io_, settings_.metrics_address, handle_probe);
+    auto metrics = HttpServer::Listen(io_, settings_.metrics_address, options,
+                                      handle_probe);
     if (!metrics)
       return metrics.error();
     metrics_server_ = std::move(metrics.value());
@@ -142,7 +155,7 @@
   // Datagrams (UDP) and connections (TCP) of other instances use the same
   // address.
   auto configuration_server = HttpServer::Listen(
-      io_, settings_.report_address,
+      io_, settings_.report_address, options,
       [this](const HttpRequest& request, const HttpServer::Respond& respond) {
         respond(configuration_relay_.HandleRequest(PathOf(request.target)));
       });
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -20,6 +20,8 @@
   double cores = 1;
   // The memory that this instance may use.
   std::size_t memory_bytes = std::size_t{160} << 20;
+  // The sockets that this instance may have open.
+  std::size_t max_sockets = 3900;
   // Addresses as "ip:port".
   std::string caller_address;
   std::string probe_address;
--- a/packages/entry/loopback_test.h
+++ b/packages/entry/loopback_test.h
@@ -53,7 +53,7 @@
 inline std::unique_ptr<HttpServer> ServeOnLoopback(
     boost::asio::io_context& io,
     HttpServer::Handler handler) {
-  auto server = HttpServer::Listen(io, "127.0.0.1:0", std::move(handler));
+  auto server = HttpServer::Listen(io, "127.0.0.1:0", {}, std::move(handler));
   return std::move(server.value());
 }
 
