Keep descriptors for upstreams when callers open many connections

What callers saw: 800 connections that are idle, or whose header never ends, left an ordinary caller without an answer at an instance with 600 descriptors, until they timed out.

Cause: nothing limited the connections of callers but the descriptors of the process. Once these are used up, no connection can be accepted, and none to an upstream or the store can be opened.

Change: callers can open 3/4 of the sockets that max-fds allows. At the limit, a new connection closes the one without progress for longest, or is closed itself if all others wait for responses. entry_connection_limit_total counts this.

--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -30,8 +30,10 @@
 // Responses may take this part of the memory while they are received. They are
 // copied once more for the caller.
 constexpr std::size_t kResponseMemoryDivisor = 8;
-// The part of the sockets that may be connections to each listener other than
-// that of callers.
+// Callers may open 3/4 of the sockets, and the connections to each of the other
+// listeners 1/32. The rest is for upstreams, the store and other instances.
+constexpr std::size_t kCallerSocketsNumerator = 3;
+constexpr std::size_t kCallerSocketsDivisor = 4;
 constexpr std::size_t kOtherSocketsDivisor = 32;
 constexpr std::size_t kMinOtherSockets = 8;
 // The other listeners get no bodies.
@@ -122,10 +124,7 @@
   auto acceptor = SocketAcceptor::Listen(
       io_, settings_.caller_address, CallerConnection::kReceiveBufferBytes,
       [this](boost::asio::ip::tcp::socket socket) {
-        const auto connection =
-            CallerConnection::Create(std::move(socket), *this);
-        connections_.insert(connection);
-        connection->Start();
+        OnCallerAccepted(std::move(socket));
       });
   if (!acceptor)
     return acceptor.error();
@@ -171,6 +170,20 @@
   return boost::outcome_v2::success();
 }
 
+void EntryInstance::OnCallerAccepted(boost::asio::ip::tcp::socket socket) {
+  const std::size_t limit =
+      settings_.max_sockets / kCallerSocketsDivisor * kCallerSocketsNumerator;
+  if (connections_.size() >= limit) {
+    metrics_->Count("entry_connection_limit_total");
+    // Every open connection waits for a response: the new one is closed.
+    if (!memory_->ReclaimStalest())
+      return;
+  }
+  const auto connection = CallerConnection::Create(std::move(socket), *this);
+  connections_.insert(connection);
+  connection->Start();
+}
+
 void EntryInstance::OnConfiguration(
     std::shared_ptr<const RouterConfiguration> configuration,
     std::shared_ptr<const ConfigurationDocument> document) {
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -95,6 +95,7 @@
                 GrantLog& log);
 
   Result<void> Listen();
+  void OnCallerAccepted(boost::asio::ip::tcp::socket socket);
   // Applies the changes and returns those that matter for routing.
   std::vector<FleetChange> ApplyChanges(
       const std::vector<FleetChange>& changes);
--- a/tests/system/test_other_listeners.py
+++ b/tests/system/test_other_listeners.py
@@ -88,6 +88,13 @@
     def test_instances_bodies_that_stop_short(self):
         self.check_crowd("instances", bodies_that_stop_short)
 
+    def test_callers_idle_connections(self):
+        self.check_crowd("caller", lambda: iter([]), IDLE_CALLERS)
+
+    def test_callers_heads_that_never_end(self):
+        self.check_crowd(
+            "caller", lambda: iter([HEAD + b"X-Field: x"]), IDLE_CALLERS)
+
 
 if __name__ == "__main__":
     unittest.main()
