Bound the memory of a daemon that serves a document

What callers saw: nothing until the process ends. 300 callers whose bodies of 1 MiB stop short made a daemon take 328 to 351 MiB, at the listener of callers and at that of forwarded requests; with more callers it takes more.

Cause: document mode has limits for each message and for the requests of a team, but none for all connections together; MemoryAccount was used on the platform only.

Change: CallerSession charges what it holds, the exchange what a complete request and its formatted copy take, to one account for the process (new setting `memory`, default 256 MiB). The account moves to base/ and can be used from several threads; a session whose memory is taken is closed on its own thread. A request that does not fit is refused with 503 not_run_overloaded before anything is sent. As on the platform, large blocks are mapped one by one.

--- a/apps/pollenrudderd/daemon.cc
+++ b/apps/pollenrudderd/daemon.cc
@@ -61,6 +61,7 @@
     : settings_(settings),
       instance_(CreateInstanceName(settings.name)),
       metrics_(Metrics::Create()),
+      memory_(MemoryAccount::ForProcess(settings.memory_bytes)),
       inputs_(kInputCapacity) {}
 
 Daemon::~Daemon() {
@@ -99,6 +100,7 @@
   forward.address = settings_.forward_address;
   forward.threads = kForwardThreads;
   forward.name = "forward";
+  forward.memory = memory_;
   BOOST_OUTCOME_TRY(forward_server_,
                     CallerServer::Create(
                         forward,
@@ -111,6 +113,7 @@
   caller.address = settings_.caller_address;
   caller.threads = settings_.threads;
   caller.name = "caller";
+  caller.memory = memory_;
   BOOST_OUTCOME_TRY(caller_server_, CallerServer::Create(
                                         caller,
                                         [this](boost::asio::io_context& io) {
--- a/apps/pollenrudderd/daemon.h
+++ b/apps/pollenrudderd/daemon.h
@@ -70,6 +70,7 @@
   // "<name>.<incarnation>".
   const std::string instance_;
   const std::unique_ptr<Metrics> metrics_;
+  const std::shared_ptr<MemoryAccount> memory_;
   ControlThread::Inputs inputs_;
   LogTail tail_;
   RoutingTableHolder tables_;
--- a/apps/pollenrudderd/document_mode.cc
+++ b/apps/pollenrudderd/document_mode.cc
@@ -3,6 +3,7 @@
 
 #include "pollenrudderd/document_mode.h"
 
+#include <malloc.h>
 #include <pthread.h>
 #include <atomic>
 #include <csignal>
@@ -15,6 +16,7 @@
 
 #include "base/event_log.h"
 #include "document/daemon_settings.h"
+#include "http/http_parser.h"
 #include "pollenrudderd/daemon.h"
 
 namespace pollenrudder {
@@ -58,6 +60,9 @@
 
 int RunDaemon(const DaemonSettings& settings) {
   const sigset_t signals = BlockSignals();
+  // A block that the memory account counts by its written part must not leave
+  // written pages in the heap when it is released.
+  mallopt(M_MMAP_THRESHOLD, static_cast<int>(HttpRequestParser::kMappedBytes));
   EventLog::Initialize(kMaxLogLinesPerSecond);
   auto daemon = Daemon::Start(settings);
   if (!daemon) {
--- a/packages/entry/memory_account.cc
+++ b/packages/base/memory_account.cc
@@ -1,6 +1,6 @@
 // MemoryAccount: a sum and a list of charges in order of progress.
 
-#include "entry/memory_account.h"
+#include "base/memory_account.h"
 
 #include <algorithm>
 #include <cassert>
@@ -34,8 +34,9 @@
 }
 
 bool MemoryAccount::Charge::TryResize(std::size_t bytes, BootTime now) {
+  const std::lock_guard lock(account_->mutex_);
   if (bytes == 0) {
-    Clear();
+    Release();
     return true;
   }
   if (bytes > bytes_ && !account_->MakeRoom(*this, bytes - bytes_, now)) {
@@ -53,14 +54,20 @@
 }
 
 void MemoryAccount::Charge::Clear() {
+  const std::lock_guard lock(account_->mutex_);
+  Release();
+}
+
+void MemoryAccount::Charge::Release() {
   if (bytes_ == 0)
     return;
-  account_->used_bytes_ -= std::exchange(bytes_, 0);
+  account_->used_bytes_ -= bytes_.exchange(0);
   if (reclaimable_)
     account_->reclaimable_.erase(position_);
 }
 
 void MemoryAccount::Charge::Touch(BootTime now) {
+  const std::lock_guard lock(account_->mutex_);
   last_progress_ = now;
   if (!reclaimable_ || bytes_ == 0)
     return;
@@ -70,6 +77,7 @@
 
 void MemoryAccount::Charge::SetReclaimable(bool reclaimable) {
   assert(holder_ != nullptr);
+  const std::lock_guard lock(account_->mutex_);
   if (reclaimable == reclaimable_)
     return;
   reclaimable_ = reclaimable;
@@ -123,6 +131,7 @@
 }
 
 bool MemoryAccount::ReclaimStalest() {
+  const std::lock_guard lock(mutex_);
   if (reclaimable_.empty())
     return false;
   Reclaim(*reclaimable_.front());
@@ -138,7 +147,7 @@
 }
 
 void MemoryAccount::Reclaim(Charge& charge) {
-  charge.Clear();
+  charge.Release();
   charge.holder_->OnReclaimed();
 }
 
--- a/packages/entry/memory_account.h
+++ b/packages/base/memory_account.h
@@ -1,13 +1,15 @@
 // The memory that callers and upstreams can make an instance hold.
 
-#ifndef POLLENRUDDER_ENTRY_MEMORY_ACCOUNT_H_
-#define POLLENRUDDER_ENTRY_MEMORY_ACCOUNT_H_
+#ifndef POLLENRUDDER_BASE_MEMORY_ACCOUNT_H_
+#define POLLENRUDDER_BASE_MEMORY_ACCOUNT_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <mutex>
 
 #include "base/boot_clock.h"
 
@@ -23,7 +25,8 @@
 // does not suffice. Holders that wait for others are exempt.
 //
 // Has no clock and no sockets. Charges share the account, since operations of
-// the event loop may end after everything else.
+// the event loop may end after everything else. The account may be used on any
+// thread, a charge on one at a time.
 class MemoryAccount {
  public:
   // A connection with a body of 64 KiB in chunks, which is counted twice
@@ -37,8 +40,9 @@
    public:
     virtual ~Holder() = default;
 
-    // The charge is empty from now on. The holder frees the memory from the
-    // event loop soon after, and changes no charge before it returns.
+    // The charge is empty from now on. The holder frees the memory from its
+    // event loop soon after, and changes no charge before it returns. Called on
+    // the thread of the charge that takes the memory.
     virtual void OnReclaimed() = 0;
   };
 
@@ -61,14 +65,18 @@
     // Whether the memory may be taken, which is the default for a charge with a
     // holder.
     void SetReclaimable(bool reclaimable);
+    // Meaningful on the thread of the charge, if nobody else takes memory.
     std::size_t bytes() const { return bytes_; }
 
    private:
     friend class MemoryAccount;
 
+    // Requires the lock.
+    void Release();
+
     const std::shared_ptr<MemoryAccount> account_;
     Holder* const holder_;
-    std::size_t bytes_ = 0;
+    std::atomic<std::size_t> bytes_ = 0;
     BootTime last_progress_{};
     // Invariant: false if the charge has no holder.
     bool reclaimable_;
@@ -101,6 +109,8 @@
   std::uint64_t refused_count() const { return refused_count_; }
 
  private:
+  // The following functions require the lock.
+  //
   // Returns whether `growth` more bytes fit, after taking memory if necessary.
   bool MakeRoom(const Charge& charge, std::size_t growth, BootTime now);
   void Reclaim(Charge& charge);
@@ -109,12 +119,15 @@
 
   const std::size_t limit_bytes_;
   const std::size_t reserve_bytes_;
-  std::size_t used_bytes_ = 0;
-  std::uint64_t refused_count_ = 0;
+  // Guards everything below and the charges, which other threads may empty.
+  // Only the atomic numbers are also read without it.
+  std::mutex mutex_;
+  std::atomic<std::size_t> used_bytes_ = 0;
+  std::atomic<std::uint64_t> refused_count_ = 0;
   // The charges whose memory can be taken. Invariant: sorted by last progress.
   std::list<Charge*> reclaimable_;
 };
 
 }  // namespace pollenrudder
 
-#endif  // POLLENRUDDER_ENTRY_MEMORY_ACCOUNT_H_
+#endif  // POLLENRUDDER_BASE_MEMORY_ACCOUNT_H_
--- a/packages/entry/memory_account_test.cc
+++ b/packages/base/memory_account_test.cc
@@ -1,6 +1,6 @@
 // Tests of MemoryAccount.
 
-#include "entry/memory_account.h"
+#include "base/memory_account.h"
 
 #include <chrono>
 #include <memory>
--- a/packages/callers/caller_exchange.h
+++ b/packages/callers/caller_exchange.h
@@ -4,10 +4,12 @@
 #define POLLENRUDDER_CALLERS_CALLER_EXCHANGE_H_
 
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "base/memory_account.h"
 #include "http/http_message.h"
 
 namespace pollenrudder {
@@ -44,6 +46,8 @@
       handler();
   }
 
+  // The memory of the request, as long as anything refers to the exchange.
+  std::optional<MemoryAccount::Charge> charge;
   // The RequestHandler may move parts out of the request.
   HttpRequest request;
   const boost::asio::ip::tcp::endpoint remote_endpoint;
--- a/packages/callers/caller_server.cc
+++ b/packages/callers/caller_server.cc
@@ -112,6 +112,12 @@
 
   // CallerSession::Owner:
   RequestHandler& handler() override { return *handler_; }
+  const std::shared_ptr<MemoryAccount>& memory() const override {
+    return options_.memory;
+  }
+  void Post(std::function<void()> function) override {
+    boost::asio::post(io_, std::move(function));
+  }
   bool is_closing() const override { return closing_; }
   bool is_closing_idle() const override { return closing_idle_; }
   void OnSessionEnded(CallerSession& session) override {
--- a/packages/callers/caller_server.h
+++ b/packages/callers/caller_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "base/memory_account.h"
 #include "base/metrics.h"
 #include "base/result.h"
 #include "callers/request_handler.h"
@@ -34,6 +35,9 @@
     std::string address;
     std::uint32_t threads = 1;
     std::uint32_t max_connections_per_thread = 16384;
+    // What all connections hold is charged to this account.
+    std::shared_ptr<MemoryAccount> memory =
+        MemoryAccount::ForProcess(std::size_t{256} << 20);
     ParseLimits limits;
     // Value of the `server` label in metrics.
     std::string name;
--- a/packages/callers/caller_session.cc
+++ b/packages/callers/caller_session.cc
@@ -2,9 +2,11 @@
 
 #include "callers/caller_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
+#include "callers/callers_events.h"
 #include "callers/error_response.h"
 #include "routing/routing_events.h"
 
@@ -14,6 +16,11 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadBytes = 8 << 10;
+// What an open session takes: its objects and a read buffer.
+constexpr std::size_t kSessionBytes = 12 << 10;
+// A request is copied once more, to be written to the upstream or to another
+// instance.
+constexpr std::size_t kRequestCopies = 2;
 // Limit of pipelined bytes that are read while a request is handled.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
 constexpr std::chrono::seconds kIdleTimeout{75};
@@ -42,13 +49,23 @@
       owner_(owner),
       remote_endpoint_(stream_->remote_endpoint()),
       body_limit_([this](const HttpRequest& request) {
-        return owner_.handler().BodyLimit(request);
-      }) {}
+        return std::min<std::uint64_t>(
+            owner_.handler().BodyLimit(request),
+            owner_.memory()->largest_body_bytes() / kRequestCopies);
+      }),
+      charge_(owner.memory(), this) {}
 
-CallerSession::~CallerSession() = default;
+CallerSession::~CallerSession() {
+  // Another thread may be about to call OnReclaimed().
+  charge_.Clear();
+}
 
 void CallerSession::Start() {
   EnterPhase(Phase::kReceiving);
+  if (!UpdateCharge()) {
+    Close();
+    return;
+  }
   stream_->Accept([self = shared_from_this()](error_code error) {
     if (error) {
       self->Close();
@@ -74,6 +91,8 @@
     return;
   const auto self = shared_from_this();
   phase_ = Phase::kEnded;
+  charge_.Clear();
+  parser_.reset();
   stream_->Close();
   if (const auto exchange = std::exchange(exchange_, nullptr))
     exchange->Cancel();
@@ -84,9 +103,10 @@
   if (phase_ == Phase::kEnded)
     return;
   phase_ = phase;
-  phase_deadline_ = BootClock::now() + TimeoutOf(phase == Phase::kIdle,
-                                                 phase == Phase::kReceiving,
-                                                 phase == Phase::kHandling);
+  phase_started_at_ = BootClock::now();
+  phase_deadline_ = phase_started_at_ + TimeoutOf(phase == Phase::kIdle,
+                                                  phase == Phase::kReceiving,
+                                                  phase == Phase::kHandling);
 }
 
 void CallerSession::StartRead() {
@@ -117,11 +137,35 @@
     return;
   }
   buffer_.commit(bytes);
-  if (phase_ == Phase::kIdle || phase_ == Phase::kReceiving)
+  charge_.Touch(BootClock::now());
+  if (phase_ == Phase::kIdle || phase_ == Phase::kReceiving) {
     Parse();
+    if (phase_ == Phase::kReceiving && !UpdateCharge())
+      Refuse(ErrorKind::kNotRunOverloaded);
+  } else if (!UpdateCharge()) {
+    Close();
+  }
   StartRead();
 }
 
+bool CallerSession::UpdateCharge() {
+  const std::size_t held = buffer_.size() + response_bytes_ +
+                           (parser_ ? parser_->memory_bytes() : 0);
+  // A caller that only waits for its response is not to blame.
+  charge_.SetReclaimable(held > 0 || phase_ != Phase::kHandling);
+  return charge_.TryResize(kSessionBytes + held, BootClock::now());
+}
+
+void CallerSession::OnReclaimed() {
+  owner_.Post([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || self->phase_ == Phase::kEnded)
+      return;
+    EventLog::Write(kSessionReclaimed, {});
+    self->Close();
+  });
+}
+
 void CallerSession::Parse() {
   if (!parser_)
     parser_ = std::make_unique<HttpRequestParser>(limits_, body_limit_);
@@ -149,15 +193,24 @@
 
 void CallerSession::OnRequest() {
   const auto parser = std::move(parser_);
+  const std::size_t request_bytes = parser->memory_bytes();
   HttpRequest& request = parser->request();
   head_request_ = request.method == "HEAD";
   keep_alive_ = request.keep_alive;
   EnterPhase(Phase::kHandling);
+  // The session's charge is passed on to the exchange.
+  UpdateCharge();
   exchange_ = std::make_shared<CallerExchange>(
       std::move(request), remote_endpoint_,
       [self = shared_from_this()](const HttpResponse& response) {
         self->Respond(response, false);
       });
+  exchange_->charge.emplace(owner_.memory());
+  if (!exchange_->charge->TryResize(request_bytes * kRequestCopies,
+                                    BootClock::now())) {
+    Refuse(ErrorKind::kNotRunOverloaded);
+    return;
+  }
   owner_.handler().Handle(exchange_);
 }
 
@@ -166,6 +219,8 @@
     return std::vector<LogField>{{"error", DescribeError(kind).name}};
   });
   EnterPhase(Phase::kHandling);
+  parser_.reset();
+  buffer_ = {};
   // The start of the next request is unknown, so the connection closes.
   Respond(CreateErrorResponse(kind, {}), true);
 }
@@ -176,15 +231,23 @@
     return;
   close_after_response_ = close || !keep_alive_ || owner_.is_closing();
   EnterPhase(Phase::kResponding);
-  Write(FormatResponse(response, head_request_, close_after_response_),
-        [self = shared_from_this()](error_code error) {
-          self->OnResponseWritten(error);
-        });
+  std::string text =
+      FormatResponse(response, head_request_, close_after_response_);
+  response_bytes_ = text.size();
+  if (!UpdateCharge()) {
+    EventLog::Write(kResponseDropped, {{"bytes", response_bytes_}});
+    Close();
+    return;
+  }
+  Write(std::move(text), [self = shared_from_this()](error_code error) {
+    self->OnResponseWritten(error);
+  });
 }
 
 void CallerSession::OnResponseWritten(error_code error) {
   if (phase_ == Phase::kEnded)
     return;
+  response_bytes_ = 0;
   if (error || close_after_response_ || !keep_alive_) {
     Close();
     return;
@@ -192,6 +255,8 @@
   EnterPhase(Phase::kIdle);
   if (buffer_.size() > 0)
     Parse();
+  if (IsWaitingForCaller())
+    UpdateCharge();
   // Its response announced that the connection stays open, but was not written
   // before the other idle connections were closed.
   if (owner_.is_closing_idle())
--- a/packages/callers/caller_session.h
+++ b/packages/callers/caller_session.h
@@ -13,6 +13,7 @@
 
 #include "base/boot_clock.h"
 #include "base/error_kind.h"
+#include "base/memory_account.h"
 #include "callers/request_handler.h"
 #include "http/http_parser.h"
 #include "upstreams/byte_stream.h"
@@ -24,12 +25,21 @@
 // that the caller disconnects; bytes read meanwhile belong to the next request.
 // Used on one thread. Owned by shared pointers, which pending asynchronous
 // operations also hold.
-class CallerSession : public std::enable_shared_from_this<CallerSession> {
+//
+// What the session holds is charged to the MemoryAccount: a request that does
+// not fit is refused, a response that does not fit ends the session, and the
+// account may take the memory of a session without progress.
+class CallerSession : public std::enable_shared_from_this<CallerSession>,
+                      private MemoryAccount::Holder {
  public:
   class Owner {
    public:
     virtual ~Owner() = default;
     virtual RequestHandler& handler() = 0;
+    virtual const std::shared_ptr<MemoryAccount>& memory() const = 0;
+    // Runs `function` soon on the thread of the sessions. Can be called on any
+    // thread.
+    virtual void Post(std::function<void()> function) = 0;
     // True once each connection must close after its next response.
     virtual bool is_closing() const = 0;
     // True once each connection without a request in progress must close.
@@ -40,13 +50,19 @@
   CallerSession(std::unique_ptr<ByteStream> stream,
                 const ParseLimits& limits,
                 Owner& owner);
-  ~CallerSession();
+  ~CallerSession() override;
 
   void Start();
   // Closes the session if its current phase has exceeded the time limit.
   void CheckTimeout(BootTime now);
   // Closes the session if no request is in progress.
   void CloseIfIdle();
+  // Returns whether no complete request is being handled or responded to.
+  bool IsWaitingForCaller() const {
+    return phase_ == Phase::kIdle || phase_ == Phase::kReceiving;
+  }
+  // When the current phase began.
+  BootTime phase_started_at() const { return phase_started_at_; }
   void Close();
 
  private:
@@ -62,6 +78,10 @@
   void Write(std::string text,
              std::function<void(boost::system::error_code)> handler);
   void EnterPhase(Phase phase);
+  // Charges what the session holds; false if it does not fit.
+  bool UpdateCharge();
+  // MemoryAccount::Holder:
+  void OnReclaimed() override;
 
   const std::unique_ptr<ByteStream> stream_;
   const ParseLimits limits_;
@@ -76,6 +96,10 @@
   Phase phase_ = Phase::kIdle;
   // The session is closed if it is still in this phase at this time.
   BootTime phase_deadline_;
+  BootTime phase_started_at_{};
+  // The bytes of the response that is being written.
+  std::size_t response_bytes_ = 0;
+  MemoryAccount::Charge charge_;
   bool reading_ = false;
   bool head_request_ = false;
   bool keep_alive_ = true;
--- a/packages/callers/callers_events.h
+++ b/packages/callers/callers_events.h
@@ -16,6 +16,12 @@
 // A new connection was closed because the connection limit was reached.
 inline constexpr LogEvent kConnectionRefused{7003, "connection_refused",
                                              LogLevel::kWarning};
+// The memory of a connection without progress was taken; it is closed.
+inline constexpr LogEvent kSessionReclaimed{7004, "session_reclaimed",
+                                            LogLevel::kWarning};
+// A connection is closed for lack of memory for its response.
+inline constexpr LogEvent kResponseDropped{7005, "response_dropped",
+                                           LogLevel::kWarning};
 
 }  // namespace pollenrudder
 
--- a/packages/callers/callers_test.cc
+++ b/packages/callers/callers_test.cc
@@ -36,12 +36,15 @@
 // An instance with its two servers and its UpstreamSender.
 class Instance {
  public:
-  explicit Instance(const std::string& name)
+  explicit Instance(const std::string& name,
+                    std::shared_ptr<MemoryAccount> memory =
+                        MemoryAccount::ForProcess(std::size_t{256} << 20))
       : sender(UpstreamSender::Create({name, "region"}, reports, *metrics)),
         context{name, "zone", "region", tables, *sender, teams, *metrics} {
     CallerServer::Options options;
     options.address = "127.0.0.1:0";
     options.name = "caller";
+    options.memory = std::move(memory);
     options.limits.header_bytes = 2048;
     options.threads = 2;
     callers = Serve<Ingress>(options);
@@ -459,6 +462,33 @@
 }
 
 // Guards against requests that continue after their caller has disconnected.
+// Guards against requests that take memory without being counted, and against
+// ones that stay counted after their response.
+TEST_CASE("a request that does not fit in memory is refused as not run") {
+  const auto memory = std::make_shared<MemoryAccount>(
+      /*limit_bytes=*/512 << 10, /*reserve_bytes=*/0);
+  Instance instance("leader.1", memory);
+  Fixture fixture;
+  instance.Publish(fixture.Table());
+  instance.sender->ApplyLease({"crew-1", kFence, BootClock::now() + 60s});
+  {
+    MemoryAccount::Charge other(memory);
+    // The request counts twice, which does not fit beside its connection.
+    REQUIRE(other.TryResize(496 << 10, BootClock::now()));
+    const HttpResponse refused =
+        Client(instance.callers->address())
+            .Exchange(Post("/crewdesk/a", std::string(1000, 'x'),
+                           "X-Filler: " + std::string(1040, 'x') + "\r\n"));
+    CHECK(Kind(refused) == "not_run_overloaded");
+    CHECK(Outcome(refused) == "not-run");
+  }
+  CHECK(Outcome(Client(instance.callers->address())
+                    .Exchange(Post("/crewdesk/a", std::string(1000, 'x')))) ==
+        "answered");
+  while (memory->used_bytes() > 0)
+    std::this_thread::sleep_for(1ms);
+}
+
 TEST_CASE("a caller that disconnects releases its team slot") {
   Gate gate;
   Fixture fixture([&gate](const std::string& request) {
--- a/packages/document/daemon_settings.cc
+++ b/packages/document/daemon_settings.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr MappingReader::Range kThreadRange{1, 64};
+constexpr MappingReader::Range kMemoryRange{64 << 20, 0xFFFFFFFF};
 
 TlsFiles ReadTlsFiles(const YAML::Node& node,
                       const std::string& mapping_name,
@@ -64,6 +65,7 @@
   reader.ReadAddress("instance_list", settings.instance_list_address);
   reader.ReadBoolean("relay_tree", settings.relay_tree);
   reader.ReadNumber("threads", settings.threads, kThreadRange);
+  reader.ReadByteSize("memory", settings.memory_bytes, kMemoryRange);
   reader.ReadChild("tls", [&](const YAML::Node& child) {
     ReadTls(child, settings, checked.errors);
   });
--- a/packages/document/daemon_settings.h
+++ b/packages/document/daemon_settings.h
@@ -31,6 +31,8 @@
   bool relay_tree = true;
   // Number of threads that serve callers.
   std::uint32_t threads = 1;
+  // The memory that the process may use.
+  std::uint32_t memory_bytes = 256U << 20;
   std::optional<TlsFiles> caller_tls;
   std::optional<TlsFiles> peer_tls;
 
--- a/packages/entry/caller_connection.h
+++ b/packages/entry/caller_connection.h
@@ -15,7 +15,7 @@
 
 #include "base/boot_clock.h"
 #include "base/error_kind.h"
-#include "entry/memory_account.h"
+#include "base/memory_account.h"
 #include "fleet/caller_limits.h"
 #include "http/http_message.h"
 #include "http/http_parser.h"
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "base/memory_account.h"
 #include "base/metrics.h"
 #include "base/result.h"
 #include "entry/caller_connection.h"
@@ -25,7 +26,6 @@
 #include "entry/grant_driver.h"
 #include "entry/http_server.h"
 #include "entry/instance_channel.h"
-#include "entry/memory_account.h"
 #include "entry/socket_acceptor.h"
 #include "entry/update_relay.h"
 #include "entry/upstream_protocol.h"
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/error_kind.h"
+#include "base/memory_account.h"
 #include "base/metrics.h"
 #include "dispatch/dispatch_listener.h"
 #include "dispatch/dispatcher.h"
@@ -22,7 +23,6 @@
 #include "dispatch/retry_budget_share.h"
 #include "entry/active_request.h"
 #include "entry/http_client_pool.h"
-#include "entry/memory_account.h"
 #include "entry/received_request.h"
 #include "entry/response_budget.h"
 #include "entry/upstream_protocol.h"
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -15,7 +15,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "base/boot_clock.h"
-#include "entry/memory_account.h"
+#include "base/memory_account.h"
 #include "entry/response_budget.h"
 #include "entry/response_match.h"
 #include "http/http_message.h"
--- a/packages/entry/http_server.h
+++ b/packages/entry/http_server.h
@@ -11,7 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "entry/memory_account.h"
+#include "base/memory_account.h"
 #include "base/result.h"
 #include "entry/socket_acceptor.h"
 #include "http/http_message.h"
--- a/packages/entry/received_request.h
+++ b/packages/entry/received_request.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <utility>
 
-#include "entry/memory_account.h"
+#include "base/memory_account.h"
 #include "http/http_message.h"
 
 namespace pollenrudder {
