Keep descriptors for upstreams in document mode, too

What callers saw: 800 idle connections to any listener of a daemon with 400 file descriptors left an ordinary request without an answer, for up to 75 s.

Cause: callers and forwarded requests could open 16,384 connections a thread, other instances 4,096 and operators any number, whatever the process may have open. The listener for operators also tried to accept again at once when that failed.

Change: callers can use half of RLIMIT_NOFILE, forwarded requests and other instances an eighth each, operators 64. At its limit, the listener of callers or of forwarded requests closes the connection that has sent no complete request for longest; before, it closed the new one, so that idle connections kept others out.

--- a/apps/pollenrudderd/daemon.cc
+++ b/apps/pollenrudderd/daemon.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/descriptor_limit.h"
 #include "base/event_log.h"
 #include "callers/forward_handler.h"
 #include "callers/ingress.h"
@@ -21,6 +22,11 @@
 constexpr std::size_t kInputCapacity = 16384;
 // One thread suffices, as it only passes forwarded requests to the sender.
 constexpr std::uint32_t kForwardThreads = 1;
+// The parts of the file descriptors that connections of callers and forwarded
+// requests may use. The rest is for upstreams, the platform and other
+// instances.
+constexpr std::size_t kCallerDescriptorsDivisor = 2;
+constexpr std::size_t kForwardDescriptorsDivisor = 8;
 
 // A handover needs a drain and an append per upstream. While the log is
 // unavailable, only this timeout ends it.
@@ -96,10 +102,13 @@
   ingress_context_ = std::make_unique<IngressContext>(
       IngressContext{instance_, settings_.zone, settings_.region, tables_,
                      *sender_, teams_, *metrics_});
+  const std::size_t descriptors = DescriptorLimit();
   CallerServer::Options forward;
   forward.address = settings_.forward_address;
   forward.threads = kForwardThreads;
   forward.name = "forward";
+  forward.max_connections_per_thread =
+      descriptors / kForwardDescriptorsDivisor / kForwardThreads;
   forward.memory = memory_;
   BOOST_OUTCOME_TRY(forward_server_,
                     CallerServer::Create(
@@ -113,6 +122,8 @@
   caller.address = settings_.caller_address;
   caller.threads = settings_.threads;
   caller.name = "caller";
+  caller.max_connections_per_thread =
+      descriptors / kCallerDescriptorsDivisor / settings_.threads;
   caller.memory = memory_;
   BOOST_OUTCOME_TRY(caller_server_, CallerServer::Create(
                                         caller,
--- a/packages/callers/caller_server.cc
+++ b/packages/callers/caller_server.cc
@@ -146,7 +146,8 @@
   void OnAccepted(tcp::socket socket) {
     if (sessions_.size() >= options_.max_connections_per_thread) {
       EventLog::Write(kConnectionRefused, {{"server", options_.name}});
-      return;
+      if (!CloseStalestWaiting())
+        return;
     }
     connections_total_.Add();
     const auto session = std::make_shared<CallerSession>(
@@ -156,6 +157,21 @@
     session->Start();
   }
 
+  // Returns false if every session has a request in progress.
+  bool CloseStalestWaiting() {
+    CallerSession* stalest = nullptr;
+    for (const auto& [session, owned] : sessions_) {
+      if (session->IsWaitingForCaller() &&
+          (stalest == nullptr ||
+           session->phase_started_at() < stalest->phase_started_at()))
+        stalest = session;
+    }
+    if (stalest == nullptr)
+      return false;
+    stalest->Close();
+    return true;
+  }
+
   void ScheduleTimeoutCheck() {
     timeout_timer_.expires_after(kTimeoutCheckInterval);
     timeout_timer_.async_wait([this](error_code error) {
--- a/packages/callers/caller_server.h
+++ b/packages/callers/caller_server.h
@@ -34,7 +34,9 @@
     // "ip:port"; port 0 selects a free port.
     std::string address;
     std::uint32_t threads = 1;
-    std::uint32_t max_connections_per_thread = 16384;
+    // A further connection closes the one whose caller has sent no complete
+    // request for longest.
+    std::size_t max_connections_per_thread = 16384;
     // What all connections hold is charged to this account.
     std::shared_ptr<MemoryAccount> memory =
         MemoryAccount::ForProcess(std::size_t{256} << 20);
--- a/packages/callers/callers_events.h
+++ b/packages/callers/callers_events.h
@@ -13,7 +13,8 @@
 // Another instance sent a request with missing or malformed forwarding headers.
 inline constexpr LogEvent kForwardRefused{7002, "forward_refused",
                                           LogLevel::kWarning};
-// A new connection was closed because the connection limit was reached.
+// The connection limit was reached: the connection that has been inactive for
+// longest was closed, or the new one if all have a request in progress.
 inline constexpr LogEvent kConnectionRefused{7003, "connection_refused",
                                              LogLevel::kWarning};
 // The memory of a connection without progress was taken; it is closed.
--- a/packages/operators/admin_server.cc
+++ b/packages/operators/admin_server.cc
@@ -23,6 +23,10 @@
 
 constexpr std::chrono::seconds kIdleTimeout{30};
 constexpr std::size_t kMaxHeaderBytes = std::size_t{8} * 1024;
+// Further connections are closed at once.
+constexpr int kMaxConnections = 64;
+// Delay after a failed accept, for example when too many files are open.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{100};
 
 http::response<http::string_body> MakeResponse(
     const http::request<http::empty_body>& request,
@@ -48,8 +52,16 @@
 // One connection of an operator or a scraper.
 class Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(tcp::socket socket, AdminHandler& handler)
-      : stream_(std::move(socket)), handler_(handler) {}
+  // `count` is the number of open sessions.
+  Session(tcp::socket socket, AdminHandler& handler, std::shared_ptr<int> count)
+      : stream_(std::move(socket)),
+        handler_(handler),
+        count_(std::move(count)) {
+    ++*count_;
+  }
+  ~Session() { --*count_; }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
 
   void Read() {
     parser_.emplace();
@@ -77,6 +89,7 @@
 
   beast::tcp_stream stream_;
   AdminHandler& handler_;
+  const std::shared_ptr<int> count_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::empty_body>> parser_;
   http::response<http::string_body> response_;
@@ -105,15 +118,27 @@
  private:
   void Accept() {
     acceptor_.async_accept([this](beast::error_code error, tcp::socket socket) {
-      if (!error)
-        std::make_shared<Session>(std::move(socket), handler_)->Read();
-      if (acceptor_.is_open())
-        Accept();
+      if (error) {
+        retry_timer_.expires_after(kAcceptRetryDelay);
+        retry_timer_.async_wait([this](beast::error_code aborted) {
+          if (!aborted && acceptor_.is_open())
+            Accept();
+        });
+        return;
+      }
+      if (*session_count_ < kMaxConnections) {
+        std::make_shared<Session>(std::move(socket), handler_, session_count_)
+            ->Read();
+      }
+      Accept();
     });
   }
 
   asio::io_context context_{1};
+  // Used on the thread of the event loop.
+  const std::shared_ptr<int> session_count_ = std::make_shared<int>(0);
   tcp::acceptor acceptor_;
+  asio::steady_timer retry_timer_{context_};
   AdminHandler& handler_;
   const std::string address_;
   std::thread thread_;
--- a/packages/peers/peer_server.cc
+++ b/packages/peers/peer_server.cc
@@ -2,6 +2,7 @@
 
 #include "peers/peer_server.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -25,6 +26,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "base/descriptor_limit.h"
 #include "base/event_log.h"
 #include "base/socket_address.h"
 #include "logstore/http_connection.h"
@@ -39,6 +41,7 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kMaxConnections = 4096;
+constexpr std::size_t kDescriptorsDivisor = 8;
 constexpr std::chrono::seconds kIdleTimeout{60};
 constexpr std::chrono::seconds kWriteTimeout{10};
 // Equal to the timeout of the calling peer.
@@ -129,7 +132,7 @@
         co_await retry_timer.async_wait(kAwaitTuple);
         continue;
       }
-      if (connections_ >= kMaxConnections) {
+      if (connections_ >= max_connections_) {
         EventLog::Write(kPeerConnectionRefused, {{"open", connections_}});
         metrics_.Count("pollenrudder_peer_connections_refused_total");
         continue;
@@ -283,6 +286,8 @@
   LogTail& tail_;
   PeerServer::Listener& listener_;
   JsonRpcServerCodec codec_;
+  const std::size_t max_connections_ =
+      std::min(kMaxConnections, DescriptorLimit() / kDescriptorsDivisor);
   std::size_t connections_ = 0;
   std::uint64_t last_call_id_ = 0;
   std::map<std::uint64_t, std::shared_ptr<PendingCall>> pending_calls_;
--- a/tests/system/test_document_crowds.py
+++ b/tests/system/test_document_crowds.py
@@ -124,14 +124,26 @@
         self.check_crowd("caller", lambda: itertools.repeat(
             head("/crewdesk/?pad=1000000", "Content-Length: 0\r\n"), 8))
 
+    def test_idle_connections(self):
+        self.check_crowd("caller", lambda: iter([]), IDLE_CALLERS)
+
     def test_forwarded_bodies_that_stop_short(self):
         self.check_crowd("forward", lambda: iter([announced(
             "/crewdesk/", MAX_BODY_BYTES, MAX_BODY_BYTES - MISSING_BYTES)]))
 
+    def test_forward_idle_connections(self):
+        self.check_crowd("forward", lambda: iter([]), IDLE_CALLERS)
+
     def test_admin_bodies_that_stop_short(self):
         self.check_crowd("admin", lambda: iter([announced(
             "/metrics", MAX_BODY_BYTES, MAX_BODY_BYTES - MISSING_BYTES)]))
 
+    def test_admin_idle_connections(self):
+        self.check_crowd("admin", lambda: iter([]), IDLE_CALLERS)
+
+    def test_peer_idle_connections(self):
+        self.check_crowd("peer", lambda: iter([]), IDLE_CALLERS)
+
     def test_peer_messages_that_never_end(self):
         self.check_crowd("peer", lambda: iter([bytes(MAX_BODY_BYTES)]))
 
