Do not take a connection for stalled that has waited for its response

When memory runs out, the connections without progress for longest are closed first. The time for which a connection waited for an upstream counted, so that it was the first to be closed when its response arrived and was being written. Its place in the list was also searched among all connections, once for each response.

Change: a charge that may be taken again counts as having made progress now. A daemon with few descriptors and many threads keeps at least 16 connections a thread, where the division gave 0.

--- a/apps/pollenrudderd/daemon.cc
+++ b/apps/pollenrudderd/daemon.cc
@@ -2,6 +2,7 @@
 
 #include "pollenrudderd/daemon.h"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -29,6 +30,7 @@
 // instances.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
 constexpr std::size_t kForwardDescriptorsDivisor = 8;
+constexpr std::size_t kMinConnections = 16;
 
 // A handover needs a drain and an append per upstream. While the log is
 // unavailable, only this timeout ends it.
@@ -110,7 +112,8 @@
   forward.threads = kForwardThreads;
   forward.name = "forward";
   forward.max_connections_per_thread =
-      descriptors / kForwardDescriptorsDivisor / kForwardThreads;
+      std::max(descriptors / kForwardDescriptorsDivisor / kForwardThreads,
+               kMinConnections);
   forward.limits.body_bytes = kMaxBodyBytes;
   forward.memory = memory_;
   BOOST_OUTCOME_TRY(forward_server_,
@@ -126,7 +129,8 @@
   caller.threads = settings_.threads;
   caller.name = "caller";
   caller.max_connections_per_thread =
-      descriptors / kCallerDescriptorsDivisor / settings_.threads;
+      std::max(descriptors / kCallerDescriptorsDivisor / settings_.threads,
+               kMinConnections);
   caller.limits.body_bytes = kMaxBodyBytes;
   caller.memory = memory_;
   BOOST_OUTCOME_TRY(caller_server_, CallerServer::Create(
--- a/packages/base/memory_account.cc
+++ b/packages/base/memory_account.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <iterator>
 #include <utility>
 
 namespace pollenrudder {
@@ -44,11 +43,8 @@
     return false;
   }
   account_->used_bytes_ += bytes - bytes_;
-  if (bytes_ == 0) {
-    last_progress_ = now;
-    if (reclaimable_)
-      account_->AddReclaimable(*this);
-  }
+  if (bytes_ == 0 && reclaimable_)
+    account_->AddReclaimable(*this, now);
   bytes_ = bytes;
   return true;
 }
@@ -68,14 +64,14 @@
 
 void MemoryAccount::Charge::Touch(BootTime now) {
   const std::lock_guard lock(account_->mutex_);
-  last_progress_ = now;
   if (!reclaimable_ || bytes_ == 0)
     return;
+  last_progress_ = now;
   account_->reclaimable_.splice(account_->reclaimable_.end(),
                                 account_->reclaimable_, position_);
 }
 
-void MemoryAccount::Charge::SetReclaimable(bool reclaimable) {
+void MemoryAccount::Charge::SetReclaimable(bool reclaimable, BootTime now) {
   assert(holder_ != nullptr);
   const std::lock_guard lock(account_->mutex_);
   if (reclaimable == reclaimable_)
@@ -84,7 +80,7 @@
   if (bytes_ == 0)
     return;
   if (reclaimable)
-    account_->AddReclaimable(*this);
+    account_->AddReclaimable(*this, now);
   else
     account_->reclaimable_.erase(position_);
 }
@@ -138,12 +134,9 @@
   return true;
 }
 
-void MemoryAccount::AddReclaimable(Charge& charge) {
-  auto position = reclaimable_.end();
-  while (position != reclaimable_.begin() &&
-         (*std::prev(position))->last_progress_ > charge.last_progress_)
-    --position;
-  charge.position_ = reclaimable_.insert(position, &charge);
+void MemoryAccount::AddReclaimable(Charge& charge, BootTime now) {
+  charge.last_progress_ = now;
+  charge.position_ = reclaimable_.insert(reclaimable_.end(), &charge);
 }
 
 void MemoryAccount::Reclaim(Charge& charge) {
--- a/packages/base/memory_account.h
+++ b/packages/base/memory_account.h
@@ -63,8 +63,9 @@
     // Records progress of the holder.
     void Touch(BootTime now);
     // Whether the memory may be taken, which is the default for a charge with a
-    // holder.
-    void SetReclaimable(bool reclaimable);
+    // holder. A holder that has waited for others is not taken for a stalled
+    // one: its time without progress begins now.
+    void SetReclaimable(bool reclaimable, BootTime now);
     // Meaningful on the thread of the charge, if nobody else takes memory.
     std::size_t bytes() const { return bytes_; }
 
@@ -114,8 +115,8 @@
   // Returns whether `growth` more bytes fit, after taking memory if necessary.
   bool MakeRoom(const Charge& charge, std::size_t growth, BootTime now);
   void Reclaim(Charge& charge);
-  // Adds the charge to `reclaimable_`, by its last progress.
-  void AddReclaimable(Charge& charge);
+  // Adds the charge to `reclaimable_`, with progress now.
+  void AddReclaimable(Charge& charge, BootTime now);
 
   const std::size_t limit_bytes_;
   const std::size_t reserve_bytes_;
--- a/packages/callers/caller_session.cc
+++ b/packages/callers/caller_session.cc
@@ -151,9 +151,10 @@
 bool CallerSession::UpdateCharge() {
   const std::size_t held = buffer_.size() + response_bytes_ +
                            (parser_ ? parser_->memory_bytes() : 0);
+  const BootTime now = BootClock::now();
   // A caller that only waits for its response is not to blame.
-  charge_.SetReclaimable(held > 0 || phase_ != Phase::kHandling);
-  return charge_.TryResize(kSessionBytes + held, BootClock::now());
+  charge_.SetReclaimable(held > 0 || phase_ != Phase::kHandling, now);
+  return charge_.TryResize(kSessionBytes + held, now);
 }
 
 void CallerSession::OnReclaimed() {
--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -250,13 +250,14 @@
 }
 
 bool CallerConnection::UpdateCharge() {
+  const BootTime now = BootClock::now();
   const std::size_t held = HeldBytes();
   // A caller that only waits for responses is not to blame.
-  charge_.SetReclaimable(held > 0 || pending_.empty());
+  charge_.SetReclaimable(held > 0 || pending_.empty(), now);
   return charge_.TryResize(
       kConnectionBytes + held +
           (has_large_receive_buffer_ ? kLargeReceiveBufferBytes : 0),
-      BootClock::now());
+      now);
 }
 
 void CallerConnection::UpdateReceiveBuffer() {
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -37,7 +37,7 @@
 constexpr std::size_t kOtherSocketsDivisor = 32;
 constexpr std::size_t kMinOtherSockets = 8;
 // The other listeners get no bodies.
-constexpr std::uint64_t kMaxProbeBodyBytes = 1 << 10;
+constexpr std::uint64_t kMaxOtherBodyBytes = 1 << 10;
 // When a caller may repeat a request that was refused for lack of memory.
 constexpr milliseconds kRetryAfterLackOfMemory{500};
 
@@ -132,7 +132,7 @@
   const HttpServer::Options options{
       .max_connections = std::max(settings_.max_sockets / kOtherSocketsDivisor,
                                   kMinOtherSockets),
-      .body_bytes = kMaxProbeBodyBytes,
+      .body_bytes = kMaxOtherBodyBytes,
       .receive_buffer_bytes = CallerConnection::kReceiveBufferBytes,
       .memory = memory_};
   const auto handle_probe = [this](const HttpRequest& request,
@@ -175,7 +175,7 @@
       settings_.max_sockets / kCallerSocketsDivisor * kCallerSocketsNumerator;
   if (connections_.size() >= limit) {
     metrics_->Count("entry_connection_limit_total");
-    // Every open connection waits for a response: the new one is closed.
+    // If all others wait for a response, the new connection is closed.
     if (!memory_->ReclaimStalest())
       return;
   }
--- a/packages/entry/http_server.cc
+++ b/packages/entry/http_server.cc
@@ -21,7 +21,7 @@
 }  // namespace
 
 // What all connections use.
-struct HttpServer::Shared {
+struct HttpServer::SharedState {
   Options options;
   Handler handler;
   // The open connections. Invariant: sorted by the last bytes received.
@@ -32,7 +32,7 @@
     : public std::enable_shared_from_this<HttpServer::Connection> {
  public:
   Connection(boost::asio::ip::tcp::socket socket,
-             std::shared_ptr<Shared> shared)
+             std::shared_ptr<SharedState> shared)
       : socket_(std::move(socket)), shared_(std::move(shared)) {
     SetConnectionOptions(socket_);
     position_ = shared_->connections.insert(shared_->connections.end(), this);
@@ -124,7 +124,7 @@
   }
 
   boost::asio::ip::tcp::socket socket_;
-  const std::shared_ptr<Shared> shared_;
+  const std::shared_ptr<SharedState> shared_;
   // Valid until the connection is closed.
   std::list<Connection*>::iterator position_;
   boost::beast::flat_buffer buffer_;
@@ -155,8 +155,8 @@
 }
 
 HttpServer::HttpServer(const Options& options, Handler handler)
-    : shared_(
-          std::make_shared<Shared>(Shared{options, std::move(handler), {}})) {}
+    : shared_(std::make_shared<SharedState>(
+          SharedState{options, std::move(handler), {}})) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/packages/entry/http_server.h
+++ b/packages/entry/http_server.h
@@ -52,13 +52,13 @@
 
  private:
   class Connection;
-  struct Shared;
+  struct SharedState;
 
   HttpServer(const Options& options, Handler handler);
   void OnAccepted(boost::asio::ip::tcp::socket socket);
 
   // Connections may exist for longer than the server.
-  const std::shared_ptr<Shared> shared_;
+  const std::shared_ptr<SharedState> shared_;
   std::unique_ptr<SocketAcceptor> acceptor_;
 };
 
