--- a/tests/system/platform_processes.py
+++ b/tests/system/platform_processes.py
@@ -7,7 +7,9 @@
 import resource
 import socket
 import struct
+import sys
 import threading
+import time
 import urllib.parse
 
 import processes
@@ -51,21 +53,32 @@
             X_Pollenrudder_Request_Id=self.headers.get(
                 "X-Pollenrudder-Request-Id", ""))
 
+    @staticmethod
+    def _format_record(key, value):
+        content = bytes([len(key)]) + key.encode() + value.encode()
+        return struct.pack(">I", len(content)) + content
+
     def do_GET(self):  # pylint: disable=invalid-name
         url = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(url.query))
-        records = self.server.topics.get(query.get("topic"), {})
+        records = self.server.topics.get(query.get("topic"), [])
         if url.path == "/v1/log-newest":
+            newest = {key: (offset, value)
+                      for offset, (key, value) in enumerate(records)}
             items = [{"key": key, "offset": offset,
                       "value": base64.b64encode(value.encode()).decode()}
-                     for offset, (key, value) in enumerate(records.items())]
+                     for key, (offset, value) in newest.items()]
             self._respond(200, json.dumps(
                 {"items": items, "has-more": False,
-                 "end-offset": len(items)}).encode(), Store_Era="1")
+                 "end-offset": len(records)}).encode(), Store_Era="1")
         elif url.path.startswith("/v1/"):
-            # Nothing changes: long polls end without a record.
-            self.server.stopped.wait(int(query.get("wait-ms", 0)) / 1000)
-            self._respond(200, struct.pack(">QQ", len(records), 0),
+            first = int(query.get("from", 0))
+            end = time.monotonic() + int(query.get("wait-ms", 0)) / 1000
+            while (len(records) <= first and time.monotonic() < end and
+                   not self.server.stopped.wait(0.05)):
+                pass
+            self._respond(200, struct.pack(">QQ", len(records), 0) + b"".join(
+                self._format_record(*record) for record in records[first:]),
                           Store_Era="1")
         else:
             self._respond_as_upstream(self.response_body)
@@ -83,32 +96,30 @@
             self._respond_as_upstream(b"")
 
 
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """Daemons are killed and close connections while requests run."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class PlatformDaemon(processes.Process):
     """pollenrudderd --platform with one route, "/", and one upstream."""
 
     def __init__(self, folder, memory_mb, max_body_bytes, max_fds=4100):
-        self._server = http.server.ThreadingHTTPServer(
-            ("127.0.0.1", 0), _Handler)
-        self._server.daemon_threads = True
+        self._server = _Server(("127.0.0.1", 0), _Handler)
         self._server.stopped = threading.Event()
         address = f"127.0.0.1:{self._server.server_address[1]}"
-        resources = [
-            ("routes", "all", {
-                "hostname": "a.example", "path-prefix": "/", "kind": "unsafe",
-                "timeout-s": 20, "service": "one"}),
-            ("services", "one", {
-                "health-path": "/health", "max-connections": 40,
-                "sharded": False}),
-            ("limits", "callers", {
-                "max-header-bytes": 16384, "max-body-bytes": max_body_bytes,
-                "header-timeout-s": 30, "idle-timeout-s": 30})]
+        self._max_body_bytes = max_body_bytes
+        self._version = 1
+        self._prefix = "/"
         self._server.topics = {
-            "keyed.op": {"config": json.dumps({"version": "r1", "resources": [
-                {"resource-kind": kind, "metadata": {"name": name},
-                 "spec": spec} for kind, name, spec in resources]})},
-            "keyed.servers": {"i-1": json.dumps({
+            "keyed.op": [("config", self._configuration())],
+            "keyed.servers": [("i-1", json.dumps({
                 "service": "one", "address": address, "zone": "a1",
-                "slots": 40, "state": "ready", "born": 1, "sequence": 1})}}
+                "slots": 40, "state": "ready", "born": 1, "sequence": 1}))]}
         threading.Thread(target=self._server.serve_forever,
                          daemon=True).start()
         port = free_ports(4)
@@ -129,16 +140,49 @@
         path = os.path.join(folder, "settings.yaml")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
+        self._folder = folder
+        self._settings_path = path
+        self._max_fds = max_fds
+        self.start()
+        processes.wait_until(lambda: self.answers(b""), "the list is read")
+
+    def _configuration(self):
+        resources = [
+            ("routes", "all", {
+                "hostname": "a.example", "path-prefix": self._prefix,
+                "kind": "unsafe", "timeout-s": 20, "service": "one"}),
+            ("services", "one", {
+                "health-path": "/health", "max-connections": 40,
+                "sharded": False}),
+            ("limits", "callers", {
+                "max-header-bytes": 16384,
+                "max-body-bytes": self._max_body_bytes,
+                "header-timeout-s": 30, "idle-timeout-s": 30})]
+        return json.dumps({"version": f"r{self._version}", "resources": [
+            {"resource-kind": kind, "metadata": {"name": name}, "spec": spec}
+            for kind, name, spec in resources]})
+
+    def move_route(self):
+        """Publishes a configuration whose only route has another prefix."""
+        self._version += 1
+        self._prefix = f"/{self._version}/"
+        self._server.topics["keyed.op"].append(
+            ("config", self._configuration()))
+
+    def start(self):
+        """Starts the process, also again after its end."""
         super().__init__("front-a-1", [
-            processes.DAEMON, "--platform", "--settings", path], folder)
-        resource.prlimit(self.pid, resource.RLIMIT_NOFILE, (max_fds, max_fds))
+            processes.DAEMON, "--platform", "--settings",
+            self._settings_path], self._folder)
+        resource.prlimit(self.pid, resource.RLIMIT_NOFILE,
+                         (self._max_fds, self._max_fds))
         self.wait_for_output("name=plan_in_force")
-        processes.wait_until(lambda: self.answers(b""), "the list is read")
 
     def answers(self, body):
-        """Returns whether a request with this body is served."""
+        """Returns whether a request with this body is served on the route of
+        the newest configuration."""
         try:
-            return processes.request(self.caller, "POST", "/", body,
+            return processes.request(self.caller, "POST", self._prefix, body,
                                      {"Host": "a.example"})[0] == 200
         except OSError:
             return False
