Add review case 7: kept connections keep the memory of their last answer

Seen: callers read an answer of 540,000 bytes and keep their connections. The process grows by 0.52 MB a connection, which the memory account doesn't count, and exceeds the 260 MB of its machine with 485 idle connections.

Cause: CallerConnection::OnWritten() assigns an empty string to the write buffer, which leaves its block allocated until the connection ends.

The case of the options of a Connection field moves to review/10.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,8 +15,8 @@
 jobs_started=()
 objects=()
 for name in "${shared[@]}"; do objects+=("target/review-2/$name.o"); done
-for name in late_copy connection_options transfer_coding planned_stop slow_reader; do
-  [ -f "review/standins-2/$name.cc" ] || continue
+for name in late_copy kept_connections transfer_coding planned_stop \
+            connection_options; do
   g++ "${flags[@]}" "review/standins-2/$name.cc" \
     "${objects[@]}" -o "target/review-2/$name" \
     -lboost_json &
--- a/review/standins-2/connection_options.cc
+++ b/review/standins-2/connection_options.cc
@@ -1,4 +1,4 @@
-// Case 7: callers send requests whose legal head has a Connection field with
+// Case 10: callers send requests whose legal head has a Connection field with
 // many options, stop just short of the end of the body, and stay open.
 
 #include <sys/resource.h>
