--- a/review/standins-2/connection_options.cc
+++ b/review/standins-2/connection_options.cc
@@ -1,8 +1,8 @@
 // Case 10: callers send requests whose legal head has a Connection field with
 // many options, stop just short of the end of the body, and stay open.
 
-#include <sys/resource.h>
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <atomic>
@@ -64,7 +64,7 @@
         socket.SendAll(FormatRequest("booking", id, milliseconds(2000), "b")))
       response = ReadMessage(socket, buffer, milliseconds(2500));
     record.Write("ordinary request " + id + ": " +
-                 (response ? response->SecondWord()
+                 (response         ? response->SecondWord()
                   : socket.valid() ? "no answer"
                                    : "no connection"));
     std::this_thread::sleep_for(milliseconds(100));
@@ -80,8 +80,8 @@
       socket.SendAll(request);
     crowd.push_back(std::move(socket));
   }
-  const std::size_t limit =
-      static_cast<std::size_t>(daemon.options().memory_mb) << 20;
+  const std::size_t limit = static_cast<std::size_t>(daemon.options().memory_mb)
+                            << 20;
   std::size_t peak = 0;
   bool exceeded = false;
   const auto end = std::chrono::steady_clock::now() + kWaveTime;
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -50,18 +50,16 @@
     std::snprintf(timeout, sizeof(timeout), "%.3f", route.timeout_s);
     text += R"({"resource-kind":"routes","metadata":{"name":"r-)" + route.name +
             R"("},"spec":{"hostname":"a.example","path-prefix":"/)" +
-            route.name + R"(/","kind":")" + route.kind +
-            R"(","timeout-s":)" + timeout +
-            R"(,"aim-s":1,"priority":1,"service":")" + route.name +
+            route.name + R"(/","kind":")" + route.kind + R"(","timeout-s":)" +
+            timeout + R"(,"aim-s":1,"priority":1,"service":")" + route.name +
             R"(","max-attempts":2}},)" +
             R"({"resource-kind":"services","metadata":{"name":")" + route.name +
             R"("},"spec":{"health-path":"/health","max-connections":110,)" +
             R"("protocol":"h1","tls":false}},)";
   }
-  return text +
-         R"({"resource-kind":"limits","metadata":{},"spec":)"
-         R"({"max-header-bytes":16384,"max-body-bytes":67108864,)"
-         R"("header-timeout-s":3,"idle-timeout-s":15}}]})";
+  return text + R"({"resource-kind":"limits","metadata":{},"spec":)"
+                R"({"max-header-bytes":16384,"max-body-bytes":67108864,)"
+                R"("header-timeout-s":3,"idle-timeout-s":15}}]})";
 }
 
 bool Deployment::Start(const std::vector<Route>& routes, int daemon_count) {
@@ -105,9 +103,9 @@
         const Socket socket = Socket::ConnectTo(daemon.caller_port());
         const std::string id = "check-" + std::to_string(++checks_);
         if (!socket.valid() ||
-            !socket.SendAll(FormatRequest(
-                route.name, id, std::chrono::milliseconds(2000),
-                route.kind == "unsafe" ? "check" : "")))
+            !socket.SendAll(
+                FormatRequest(route.name, id, std::chrono::milliseconds(2000),
+                              route.kind == "unsafe" ? "check" : "")))
           continue;
         std::string buffer;
         const auto response =
--- a/review/standins-2/kept_connections.cc
+++ b/review/standins-2/kept_connections.cc
@@ -35,8 +35,8 @@
 // Each caller sends one request, reads the whole answer, and keeps its
 // connection if `keeps`. The wave ends early if the daemon exceeds its memory.
 Wave PlayWave(Record& record, Daemon& daemon, bool keeps) {
-  const std::size_t limit =
-      static_cast<std::size_t>(daemon.options().memory_mb) << 20;
+  const std::size_t limit = static_cast<std::size_t>(daemon.options().memory_mb)
+                            << 20;
   Wave wave;
   std::vector<Socket> kept;
   const auto observe = [&] {
@@ -52,10 +52,10 @@
         socket.SendAll(FormatRequest("firmware", id, kDeadline)))
       response = ReadMessage(socket, buffer, kDeadline);
     record.Write("answer  " + id + ": " +
-                 (response ? response->SecondWord() + ", " +
-                                 std::to_string(response->body.size()) +
-                                 " bytes"
-                           : "none"));
+                 (response
+                      ? response->SecondWord() + ", " +
+                            std::to_string(response->body.size()) + " bytes"
+                      : "none"));
     if (response && response->SecondWord() == "200")
       ++wave.answered;
     if (keeps)
@@ -69,8 +69,8 @@
   }
   record.Write(std::to_string(wave.answered) + " answers, " +
                std::to_string(kept.size()) + " connections kept at " +
-               daemon.options().name + ": " +
-               std::to_string(wave.peak >> 20) + " MB resident at most, " +
+               daemon.options().name + ": " + std::to_string(wave.peak >> 20) +
+               " MB resident at most, " +
                std::to_string(daemon.options().memory_mb) + " allowed");
   // "A process that exceeds memory-mb is killed."
   if (wave.exceeded) {
--- a/review/standins-2/late_copy.cc
+++ b/review/standins-2/late_copy.cc
@@ -83,9 +83,8 @@
     }
     const std::string status = response->SecondWord();
     const bool is_success = status.starts_with('2');
-    const bool is_own =
-        response->body.starts_with("answer to " + id + "\n") &&
-        response->Field("x-pollenrudder-request-id") == id;
+    const bool is_own = response->body.starts_with("answer to " + id + "\n") &&
+                        response->Field("x-pollenrudder-request-id") == id;
     record.Write("answer  " + id + ": " + status + ", id " +
                  response->Field("x-pollenrudder-request-id") + ", \"" +
                  response->body.substr(0, response->body.find('\n')) + "\"" +
@@ -119,9 +118,8 @@
   std::vector<std::thread> callers;
   for (int number = 0; number < kCallers; ++number) {
     const int port = deployment.daemons()[number % 2]->caller_port();
-    callers.emplace_back([&, port, number] {
-      CallInTurn(record, port, number, foreign, own);
-    });
+    callers.emplace_back(
+        [&, port, number] { CallInTurn(record, port, number, foreign, own); });
   }
   std::this_thread::sleep_for(std::chrono::seconds(1));
   for (CopyingUpstream* upstream : faulty)
--- a/review/standins-2/planned_stop.cc
+++ b/review/standins-2/planned_stop.cc
@@ -54,9 +54,9 @@
         next_request += kInterval;
       }
       const auto next_read =
-          Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                             std::chrono::duration<double>(kReadBytes /
-                                                           kBytesPerSecond));
+          Clock::now() +
+          std::chrono::duration_cast<Clock::duration>(
+              std::chrono::duration<double>(kReadBytes / kBytesPerSecond));
       const auto bytes = socket_.Receive(kReadBytes, milliseconds(10));
       if (!bytes && socket_.timed_out())
         continue;
--- a/review/standins-2/socket_io.cc
+++ b/review/standins-2/socket_io.cc
@@ -187,8 +187,8 @@
     message.fields[Lower(std::string(line.substr(0, colon)))] = value;
   }
   buffer.erase(0, end + 4);
-  const std::size_t length = std::strtoull(
-      message.Field("content-length").c_str(), nullptr, 10);
+  const std::size_t length =
+      std::strtoull(message.Field("content-length").c_str(), nullptr, 10);
   while (buffer.size() < length) {
     if (!read_more())
       return std::nullopt;
--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -40,9 +40,8 @@
     std::uint32_t group = 0;
     for (std::size_t index = at; index < at + 3; ++index) {
       group = (group << 8) |
-              (index < bytes.size()
-                   ? static_cast<unsigned char>(bytes[index])
-                   : 0U);
+              (index < bytes.size() ? static_cast<unsigned char>(bytes[index])
+                                    : 0U);
     }
     for (std::size_t digit = 0; digit < 4; ++digit) {
       text += at + digit <= bytes.size()
@@ -88,8 +87,7 @@
 std::uint64_t NumberOf(const std::map<std::string, std::string>& query,
                        const std::string& name) {
   const auto at = query.find(name);
-  return at == query.end() ? 0
-                           : std::strtoull(at->second.c_str(), nullptr, 10);
+  return at == query.end() ? 0 : std::strtoull(at->second.c_str(), nullptr, 10);
 }
 
 std::string TextOf(const std::map<std::string, std::string>& query,
@@ -133,9 +131,9 @@
   const std::string target = request.SecondWord();
   const std::size_t mark = std::min(target.find('?'), target.size());
   const std::string path = target.substr(0, mark);
-  const auto query = ParseQuery(
-      mark < target.size() ? std::string_view(target).substr(mark + 1)
-                           : std::string_view());
+  const auto query = ParseQuery(mark < target.size()
+                                    ? std::string_view(target).substr(mark + 1)
+                                    : std::string_view());
   if (path == "/v1/log-append")
     return Append(query, request.body);
   if (path == "/v1/log-read")
@@ -154,9 +152,8 @@
   const std::lock_guard lock(mutex_);
   std::vector<Record>& topic = topics_[TextOf(query, "topic")];
   if (query.contains("at") && NumberOf(query, "at") != topic.size()) {
-    return Response(412,
-                    json::serialize(json::object{{"end-offset", topic.size()}}),
-                    true);
+    return Response(
+        412, json::serialize(json::object{{"end-offset", topic.size()}}), true);
   }
   const std::size_t offset = topic.size();
   std::size_t at = 0;
@@ -255,12 +252,11 @@
         parts.push_back(json::array{topic, partition, 0});
     }
   }
-  return Response(
-      200,
-      json::serialize(json::object{{"generation", generation_},
-                                   {"ttl-s_time", ttl},
-                                   {"parts", std::move(parts)}}),
-      true);
+  return Response(200,
+                  json::serialize(json::object{{"generation", generation_},
+                                               {"ttl-s_time", ttl},
+                                               {"parts", std::move(parts)}}),
+                  true);
 }
 
 std::string Store::Leave(const std::string& body) {
--- a/review/standins-2/upstream.cc
+++ b/review/standins-2/upstream.cc
@@ -40,8 +40,8 @@
 }
 
 std::string Upstream::Entry(int sequence) const {
-  return R"({"service":")" + options_.service + R"(","address":")" +
-         address() + R"(","zone":"cayambe","version":"v1","slots":)" +
+  return R"({"service":")" + options_.service + R"(","address":")" + address() +
+         R"(","zone":"cayambe","version":"v1","slots":)" +
          std::to_string(options_.slots) +
          R"(,"state":"ready","cold-remaining-s":0,"born":1700000000000,)" +
          R"("sequence":)" + std::to_string(sequence) + "}";
@@ -62,10 +62,10 @@
 std::string Upstream::FormatAnswer(const std::string& id,
                                    bool has_length) const {
   const std::string body = BodyFor(id);
-  std::string answer = "HTTP/1.1 200 OK\r\nX-Pollenrudder-Request-Id: " + id +
-                       "\r\nX-Pollenrudder-Server-Stamp: " + options_.name +
-                       "." + id + "\r\nX-Pollenrudder-Instance-Id: " +
-                       options_.name + "\r\n";
+  std::string answer =
+      "HTTP/1.1 200 OK\r\nX-Pollenrudder-Request-Id: " + id +
+      "\r\nX-Pollenrudder-Server-Stamp: " + options_.name + "." + id +
+      "\r\nX-Pollenrudder-Instance-Id: " + options_.name + "\r\n";
   if (has_length)
     answer += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return answer + "\r\n" + body;
@@ -92,10 +92,10 @@
   if (request.SecondWord() == "/health")
     return socket.SendAll(Rejection(200, own_name));
   const std::string id = request.Field("x-pollenrudder-request-id");
-  const std::string not_run = "X-Pollenrudder-Not-Executed: 1\r\n" +
-                              (id.empty() ? std::string()
-                                          : "X-Pollenrudder-Request-Id: " +
-                                                id + "\r\n");
+  const std::string not_run =
+      "X-Pollenrudder-Not-Executed: 1\r\n" +
+      (id.empty() ? std::string()
+                  : "X-Pollenrudder-Request-Id: " + id + "\r\n");
   const std::string expected = request.Field("x-pollenrudder-expect-instance");
   if (!expected.empty() && expected != options_.name)
     return socket.SendAll(Rejection(421, own_name + not_run));
