--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -62,7 +62,9 @@
                 R"("header-timeout-s":3,"idle-timeout-s":15}}]})";
 }
 
-bool Deployment::Start(const std::vector<Route>& routes, int daemon_count) {
+bool Deployment::Start(const std::vector<Route>& routes,
+                       int daemon_count,
+                       int memory_mb) {
   routes_ = routes;
   store_.Put("keyed.op", "config", Configuration(routes));
   std::vector<Upstream*> upstreams;
@@ -84,6 +86,7 @@
     Daemon::Options options;
     options.name = "front-cayambe-" + std::to_string(number);
     options.store_port = store_.port();
+    options.memory_mb = memory_mb;
     daemons_.push_back(std::make_unique<Daemon>(options, folder_));
     daemons_.back()->Start();
   }
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -35,7 +35,9 @@
   void AddUpstream(std::unique_ptr<Upstream> upstream);
   // Starts everything. Returns false if a daemon does not serve each route
   // within 20 s.
-  bool Start(const std::vector<Route>& routes, int daemon_count);
+  bool Start(const std::vector<Route>& routes,
+             int daemon_count,
+             int memory_mb = 260);
   // Waits until `daemon` is ready and serves all routes.
   bool WaitUntilServing(Daemon& daemon);
 
--- a/review/standins-2/kept_connections.cc
+++ b/review/standins-2/kept_connections.cc
@@ -17,7 +17,9 @@
 constexpr int kDaemons = 2;
 // A process that ends three times in the day counts.
 constexpr int kWaves = 3;
-constexpr int kCallers = 600;
+constexpr int kCallers = 350;
+// The smallest machines of the sheet.
+constexpr int kMemoryMb = 160;
 // The largest answers of the sheets (`firmware-pulls`).
 constexpr std::size_t kAnswerBytes = 540'000;
 constexpr milliseconds kDeadline{6000};
@@ -96,7 +98,7 @@
                           .body_bytes = kAnswerBytes},
         record));
   }
-  if (!deployment.Start({{"firmware", "download"}}, kDaemons))
+  if (!deployment.Start({{"firmware", "download"}}, kDaemons, kMemoryMb))
     return kCouldNotRun;
   int machines_that_failed = 0;
   int answered = 0;
