--- a/review/standins-2/connection_options.cc
+++ b/review/standins-2/connection_options.cc
@@ -18,14 +18,16 @@
 constexpr int kDaemons = 2;
 // A process that ends three times in the day counts.
 constexpr int kWaves = 3;
-constexpr int kCallers = 1000;
+constexpr int kCallers = 600;
+// The smallest machines of the sheet.
+constexpr int kMemoryMb = 160;
 // The head stays below max-header-bytes, 16,384.
 constexpr std::size_t kFieldBytes = 15'900;
 constexpr std::size_t kBodyBytes = 1000;
 constexpr std::size_t kSentBodyBytes = 900;
 constexpr std::chrono::milliseconds kWaveTime{2500};
 constexpr std::chrono::milliseconds kRestartDelay{1000};
-constexpr rlim_t kDescriptors = 4000;
+constexpr rlim_t kDescriptors = 2000;
 
 // Returns different names, separated by commas, that fill `bytes`.
 std::string ManyOptions(std::size_t bytes) {
@@ -121,7 +123,7 @@
                           .service = "booking"},
         record));
   }
-  if (!deployment.Start({{"booking", "unsafe"}}, kDaemons))
+  if (!deployment.Start({{"booking", "unsafe"}}, kDaemons, kMemoryMb))
     return kCouldNotRun;
   const std::string request = UnfinishedRequest(trouble);
   std::atomic<bool> stopped = false;
--- a/review/standins-2/kept_connections.cc
+++ b/review/standins-2/kept_connections.cc
@@ -26,7 +26,7 @@
 // The callers rest for less than four fifths of idle-timeout-s.
 constexpr std::chrono::seconds kRestTime{3};
 constexpr milliseconds kRestartDelay{1000};
-constexpr rlim_t kDescriptors = 4000;
+constexpr rlim_t kDescriptors = 2000;
 
 struct Wave {
   int answered = 0;
