--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -23,3 +23,10 @@
   jobs_started+=($!)
 done
 for job in "${jobs_started[@]}"; do wait "$job"; done
+# The stand-ins of 6/owner are Python files.
+if command -v python3 >/dev/null; then
+  for file in review/standins/deployment.py review/5/case.py \
+              review/6/owner/case.py; do
+    python3 -c 'import sys; compile(open(sys.argv[1], "rb").read(), sys.argv[1], "exec")' "$file"
+  done
+fi
