--- a/review/standins-2/daemon.cc
+++ b/review/standins-2/daemon.cc
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -68,6 +69,8 @@
   pid_ = fork();
   if (pid_ != 0)
     return;
+  // The process ends with the case, also if that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(output, 1);
   dup2(output, 2);
