Answer pipelined requests at the listeners for probes, metrics and instances

Seen: of requests that arrive together, those behind the first got no answer until more bytes arrived.

Cause: after a response, HttpServer read on without parsing what it had in its buffer.

Change: it parses the buffer first.

Result: "HttpServer answers pipelined requests" fails before and passes after.

--- a/packages/entry/http_server.cc
+++ b/packages/entry/http_server.cc
@@ -118,6 +118,8 @@
             self->charge_->Clear();
           if (error || close)
             self->Close();
+          else if (self->buffer_.size() > 0)
+            self->Parse();
           else
             self->Read();
         });
--- a/packages/entry/http_server_test.cc
+++ b/packages/entry/http_server_test.cc
@@ -2,6 +2,7 @@
 
 #include "entry/http_server.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -82,6 +83,28 @@
   CHECK(StatusOf(start + "11\r\n\r\n0123456789x") == 0);
 }
 
+// Guards against requests that get no answer until more bytes arrive, since
+// they arrived together with the one before.
+TEST_CASE_METHOD(Fixture, "HttpServer answers pipelined requests") {
+  constexpr std::size_t kRequests = 100;
+  Listen({}, "x");
+  tcp::socket client(io);
+  client.connect(EndpointOf(server->address()));
+  std::string requests;
+  for (std::size_t index = 0; index < kRequests; ++index)
+    requests += Get();
+  boost::asio::write(client, boost::asio::buffer(requests));
+  client.non_blocking(true);
+  std::string received;
+  std::string part(4096, ' ');
+  CHECK(RunUntil(io, [&] {
+    boost::system::error_code error;
+    const std::size_t size = client.read_some(boost::asio::buffer(part), error);
+    received.append(part, 0, size);
+    return std::ranges::count(received, 'x') == kRequests;
+  }));
+}
+
 // Guards against responses that are not counted, and that stay counted after
 // they were written.
 TEST_CASE_METHOD(Fixture, "HttpServer charges its responses") {
