Deliver the last answer of a connection before the connection ends

Cause: a socket that is closed with unread bytes, or that gets bytes after it was closed, resets the connection, and the system drops what it has not delivered. The connection lingered for 150 ms, however much was undelivered, and read nothing after StopReading(). A response that did not announce the end was followed by a close without lingering, and an undelivered response counted as idle time.

Change: LingeringClose shuts down the sending side, discards what the caller sends, and watches with TIOCOUTQ what the caller has acknowledged. A caller that was not told of the end gets a reset for bytes that arrive after that, as before, which shows that they were not processed. A connection with undelivered bytes is not idle.

--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -22,10 +22,6 @@
 // A planned stop closes a connection only after this idle time, so that the
 // first request of a new connection can arrive.
 constexpr std::chrono::milliseconds kFirstRequestGrace{300};
-// How long a caller has to read the last response of a connection. It is short
-// because a caller that sends another request meanwhile must soon detect that
-// the request is not read.
-constexpr std::chrono::milliseconds kLingerTimeout{150};
 // What an open connection takes: the receive buffer, and objects and a read
 // buffer of about 5 KB.
 constexpr std::size_t kConnectionBytes =
@@ -74,7 +70,7 @@
 }
 
 bool CallerConnection::HasPeerClosed() {
-  if (closed_ || closes_soon_)
+  if (closed_ || closes_soon_ || !socket_.is_open())
     return true;
   char byte = 0;
   boost::system::error_code error;
@@ -86,22 +82,19 @@
 
 void CallerConnection::StartLeaving() {
   leaving_ = true;
-  if (IsIdle() && BootClock::now() - idle_since_ > kFirstRequestGrace)
+  if (!closed_ && !closing_ && IsIdle() &&
+      BootClock::now() - idle_since_ > kFirstRequestGrace && !HasUndelivered())
     Close();
 }
 
-void CallerConnection::Abort() {
-  Close();
-}
-
 void CallerConnection::StopReading() {
   StartLeaving();
-  if (closed_ || stopped_reading_)
+  if (closed_ || closing_ || closes_soon_ || stopped_reading_)
     return;
   stopped_reading_ = true;
   last_request_read_ = true;
   if (pending_.empty() && write_buffer_.empty())
-    Close();
+    Linger(LingeringClose::Peer::kUninformed);
 }
 
 void CallerConnection::Read() {
@@ -117,14 +110,7 @@
 }
 
 void CallerConnection::OnReadable(boost::system::error_code error) {
-  if (closed_ || closes_soon_)
-    return;
-  if (closing_) {
-    if (write_buffer_.empty())
-      DiscardInput();
-    return;
-  }
-  if (stopped_reading_)
+  if (closed_ || closes_soon_ || closing_ || stopped_reading_)
     return;
   std::size_t bytes = 0;
   if (!error)
@@ -274,7 +260,7 @@
   if (closed_ || closes_soon_)
     return;
   closes_soon_ = true;
-  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+  boost::asio::post(timer_.get_executor(), [self = shared_from_this()] {
     if (self->closed_)
       return;
     if (!self->pending_.empty())
@@ -293,10 +279,10 @@
   if (it == pending_.end())
     return;
   assert(!it->response);
-  if (leaving_ && sequence == next_sequence_ - 1)
+  const bool is_last = std::next(it) == pending_.end();
+  if (leaving_ && is_last)
     last_request_read_ = true;
-  it->close = close || !it->keep_alive ||
-              (last_request_read_ && sequence == next_sequence_ - 1);
+  it->close = close || !it->keep_alive || (last_request_read_ && is_last);
   it->response = FormatResponse(response, it->head_request, it->close);
   waiting_response_bytes_ += it->response->size();
   if (!UpdateCharge()) {
@@ -366,50 +352,45 @@
     return;
   }
   if (closing_) {
-    Linger();
+    Linger(LingeringClose::Peer::kInformed);
     return;
   }
   idle_since_ = BootClock::now();
-  if (pending_.empty() && leaving_ && IsIdle()) {
-    Close();
+  // The last response did not announce the end of the connection.
+  if (pending_.empty() && stopped_reading_) {
+    Linger(LingeringClose::Peer::kUninformed);
     return;
   }
   Flush();
   ParseRequests();
 }
 
-void CallerConnection::Linger() {
-  boost::system::error_code ignored;
-  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-  timer_.expires_after(kLingerTimeout);
-  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
-    if (const auto self = weak.lock(); self && !error)
-      self->Close();
-  });
-  if (!reading_ && !stopped_reading_)
-    DiscardInput();
+void CallerConnection::Linger(LingeringClose::Peer caller) {
+  closing_ = true;
+  timer_.cancel();
+  parser_.reset();
+  buffer_ = {};
+  UpdateCharge();
+  lingering_ = LingeringClose::Start(
+      std::move(socket_), caller,
+      {[self = shared_from_this()] { self->charge_.Touch(BootClock::now()); },
+       [self = shared_from_this()] { self->Close(); }});
 }
 
-void CallerConnection::DiscardInput() {
-  buffer_.clear();
-  reading_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](boost::system::error_code error,
-                                  std::size_t /*bytes*/) {
-        self->reading_ = false;
-        if (error)
-          self->Close();
-        else if (!self->closed_)
-          self->DiscardInput();
-      });
+bool CallerConnection::HasUndelivered() {
+  return UnacknowledgedBytes(socket_).value_or(0) > 0;
+}
+
+bool CallerConnection::IsReceivingRequest() const {
+  return !last_request_read_ && parser_ &&
+         (parser_->started() || buffer_.size() > 0);
 }
 
 void CallerConnection::ArmTimer() {
   if (closed_ || closing_)
     return;
-  const bool partial = parser_ && (parser_->started() || buffer_.size() > 0);
-  const auto limit = partial ? limits_.request_timeout : limits_.idle_timeout;
+  const auto limit =
+      IsReceivingRequest() ? limits_.request_timeout : limits_.idle_timeout;
   timer_.expires_after(limit + kTimeoutSlack);
   timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
     if (const auto self = weak.lock(); self && !error)
@@ -418,11 +399,11 @@
 }
 
 void CallerConnection::OnTimer() {
-  if (closed_)
+  if (closed_ || closing_)
     return;
-  const bool partial = parser_ && (parser_->started() || buffer_.size() > 0);
-  if (!partial) {
-    if (pending_.empty() && write_buffer_.empty())
+  if (!IsReceivingRequest()) {
+    // A caller that is still receiving a response is not idle.
+    if (pending_.empty() && write_buffer_.empty() && !HasUndelivered())
       Close();
     else
       ArmTimer();
@@ -448,6 +429,8 @@
   timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
+  if (const auto lingering = lingering_.lock())
+    lingering->Close();
   handler_.OnConnectionClosed(shared_from_this());
 }
 
--- a/packages/entry/caller_connection.h
+++ b/packages/entry/caller_connection.h
@@ -15,6 +15,7 @@
 
 #include "base/boot_clock.h"
 #include "base/error_kind.h"
+#include "base/lingering_close.h"
 #include "base/memory_account.h"
 #include "fleet/caller_limits.h"
 #include "http/http_message.h"
@@ -57,8 +58,6 @@
   void SendResponse(std::uint64_t sequence,
                     const HttpResponse& response,
                     bool close);
-  // Closes the connection without sending the outstanding responses.
-  void Abort();
 
   // Returns whether the caller has closed its side, including an end of the
   // stream that has arrived and was not read yet.
@@ -68,7 +67,8 @@
   // Sends the response to the last request read with "Connection: close", and
   // closes an idle connection.
   void StartLeaving();
-  // Stops reading requests; those that have been read still get a response.
+  // Stops reading requests; those that have been read still get a response. The
+  // connection ends when the caller has received the last one.
   void StopReading();
   BootTime idle_since() const { return idle_since_; }
 
@@ -110,11 +110,13 @@
   // Writes write_buffer_, which must not be empty.
   void Write();
   void OnWritten(boost::system::error_code error);
-  // Shuts down the sending side and waits for the caller to close, so that
-  // bytes in flight do not reset the connection before the caller has read the
-  // last response.
-  void Linger();
-  void DiscardInput();
+  // Ends the connection when the caller has received what was written.
+  // Precondition: write_buffer_ is empty.
+  void Linger(LingeringClose::Peer caller);
+  // Whether a part of a request has arrived that will be processed.
+  bool IsReceivingRequest() const;
+  // Whether the system still holds response bytes for the caller.
+  bool HasUndelivered();
   void ArmTimer();
   void OnTimer();
   void Close();
@@ -137,19 +139,22 @@
   MemoryAccount::Charge charge_;
   bool has_large_receive_buffer_ = false;
   bool reading_ = false;
+  // Set once no more responses follow those in write_buffer_.
   bool closing_ = false;
   bool closed_ = false;
   bool leaving_ = false;
   // Set once the connection is to be closed from the event loop.
   bool closes_soon_ = false;
   // Set once bytes of the caller are left unread, which shows the caller that
-  // they were not processed.
+  // they were not processed. The connection ends after the pending responses.
   bool stopped_reading_ = false;
   // Set once no more requests are parsed because the last one ends the
   // connection.
   bool last_request_read_ = false;
   BootTime idle_since_{};
   BootTime request_started_at_{};
+  // Has the socket while the caller receives the last response.
+  std::weak_ptr<LingeringClose> lingering_;
 };
 
 }  // namespace pollenrudder
--- a/tests/system/platform_processes.py
+++ b/tests/system/platform_processes.py
@@ -14,7 +14,7 @@
 
 import processes
 
-# The responses to GET requests have this size.
+# The responses to GET requests have this size, unless the query has "bytes".
 RESPONSE_BYTES = 1 << 20
 
 
@@ -39,19 +39,37 @@
     def log_message(self, *_args):
         pass
 
-    def _respond(self, status, body, **headers):
+    def _send(self, status, body, **headers):
         self.send_response(status)
         for name, value in headers.items():
             self.send_header(name.replace("_", "-"), value)
-        self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
+    def _respond(self, status, body, **headers):
+        self._send(status, body, **headers, Content_Length=str(len(body)))
+
     def _respond_as_upstream(self, body):
-        self._respond(
-            200, body, X_Pollenrudder_Server_Stamp="1.2.3",
-            X_Pollenrudder_Request_Id=self.headers.get(
-                "X-Pollenrudder-Request-Id", ""))
+        """The query may have "work-ms", "bytes" and the "framing" of the body:
+        chunked, or close if it ends with the connection."""
+        request_id = self.headers.get("X-Pollenrudder-Request-Id", "")
+        self.server.runs.add(request_id)
+        query = dict(urllib.parse.parse_qsl(
+            urllib.parse.urlsplit(self.path).query))
+        time.sleep(int(query.get("work-ms", 0)) / 1000)
+        if "bytes" in query:
+            body = bytes(int(query["bytes"]))
+        fields = {"X_Pollenrudder_Server_Stamp": "1.2.3",
+                  "X_Pollenrudder_Request_Id": request_id}
+        if query.get("framing") == "chunked":
+            fields["Transfer_Encoding"] = "chunked"
+            body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        elif query.get("framing") == "close":
+            fields["Connection"] = "close"
+            self.close_connection = True
+        else:
+            fields["Content_Length"] = str(len(body))
+        self._send(200, body, **fields)
 
     @staticmethod
     def _format_record(key, value):
@@ -84,7 +102,7 @@
             self._respond_as_upstream(self.response_body)
 
     def do_POST(self):  # pylint: disable=invalid-name
-        left = int(self.headers["Content-Length"])
+        left = int(self.headers.get("Content-Length", 0))
         while left > 0:
             part = self.rfile.read(min(left, 1 << 16))
             if not part:
@@ -98,6 +116,7 @@
 
 class _Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 512
 
     def handle_error(self, request, client_address):
         """Daemons are killed and close connections while requests run."""
@@ -108,18 +127,25 @@
 class PlatformDaemon(processes.Process):
     """pollenrudderd --platform with one route, "/", and one upstream."""
 
-    def __init__(self, folder, memory_mb, max_body_bytes, max_fds=4100):
+    def __init__(self, folder, memory_mb, max_body_bytes, max_fds=4100,
+                 slots=40, header_timeout_s=3600, idle_timeout_s=3600):
         self._server = _Server(("127.0.0.1", 0), _Handler)
         self._server.stopped = threading.Event()
+        # The ids of the requests that the upstream has run.
+        self._server.runs = set()
         address = f"127.0.0.1:{self._server.server_address[1]}"
         self._max_body_bytes = max_body_bytes
+        self._slots = slots
+        # Long by default, so that no crowd goes away by itself during a test.
+        self._timeouts = {"header-timeout-s": header_timeout_s,
+                          "idle-timeout-s": idle_timeout_s}
         self._version = 1
         self._prefix = "/"
         self._server.topics = {
             "keyed.op": [("config", self._configuration())],
             "keyed.servers": [("i-1", json.dumps({
                 "service": "one", "address": address, "zone": "a1",
-                "slots": 40, "state": "ready", "born": 1, "sequence": 1}))]}
+                "slots": slots, "state": "ready", "born": 1, "sequence": 1}))]}
         threading.Thread(target=self._server.serve_forever,
                          daemon=True).start()
         port = free_ports(4)
@@ -152,13 +178,11 @@
                 "hostname": "a.example", "path-prefix": self._prefix,
                 "kind": "unsafe", "timeout-s": 20, "service": "one"}),
             ("services", "one", {
-                "health-path": "/health", "max-connections": 40,
+                "health-path": "/health", "max-connections": self._slots,
                 "sharded": False}),
             ("limits", "callers", {
                 "max-header-bytes": 16384,
-                "max-body-bytes": self._max_body_bytes,
-                # Long, so that no crowd goes away by itself during a test.
-                "header-timeout-s": 3600, "idle-timeout-s": 3600})]
+                "max-body-bytes": self._max_body_bytes, **self._timeouts})]
         return json.dumps({"version": f"r{self._version}", "resources": [
             {"resource-kind": kind, "metadata": {"name": name}, "spec": spec}
             for kind, name, spec in resources]})
@@ -179,6 +203,10 @@
                          (self._max_fds, self._max_fds))
         self.wait_for_output("name=plan_in_force")
 
+    def has_run(self, request_id):
+        """Returns whether the upstream has run the request."""
+        return request_id in self._server.runs
+
     def answers(self, body):
         """Returns whether a request with this body is served on the route of
         the newest configuration."""
--- /dev/null
+++ b/tests/system/test_ended_connections.py
@@ -0,0 +1,168 @@
+"""Answers on connections that the instance, the caller or a limit ends.
+
+A caller behind a slow link has sent further bytes by the time at which its
+connection ends. The tests check that every answer of which the caller has sent
+the whole request arrives complete if the upstream has run the request.
+"""
+import itertools
+import tempfile
+import time
+import unittest
+
+from platform_processes import PlatformDaemon
+from slow_caller import SlowCaller
+
+MEMORY_MB = 2048
+MAX_BODY_BYTES = 1 << 20
+MAX_HEADER_BYTES = 16384
+# From less than the receive buffer of the caller to more than the send buffer
+# of the instance when the connection is new.
+ANSWER_BYTES = (60_000, 540_000, 2_000_000)
+FRAMINGS = ("length", "chunked", "close")
+SMALL_BODY = bytes(3000)
+
+
+def get(request_id, answer_bytes=0, work_ms=0, framing="length", fields=""):
+    return (f"GET /?bytes={answer_bytes}&work-ms={work_ms}&framing={framing}"
+            " HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Pollenrudder-Request-Id: {request_id}\r\n{fields}\r\n").encode()
+
+
+def post(request_id, fields, body):
+    return (f"POST /?bytes=100 HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Pollenrudder-Request-Id: {request_id}\r\n{fields}\r\n"
+            ).encode() + body
+
+
+def whole_requests(request_id):
+    """Returns requests of each framing by name."""
+    return {
+        "get": get(request_id, 100),
+        "length": post(request_id, f"Content-Length: {len(SMALL_BODY)}\r\n",
+                       SMALL_BODY),
+        "chunked": post(request_id, "Transfer-Encoding: chunked\r\n",
+                        b"%x\r\n%b\r\n0\r\n\r\n" %
+                        (len(SMALL_BODY), SMALL_BODY))}
+
+
+class EndedConnectionsTest(unittest.TestCase):
+    def start(self, **limits):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.daemon = PlatformDaemon(folder.name, MEMORY_MB, MAX_BODY_BYTES,
+                                     slots=1000, **limits)
+        self.addCleanup(self.daemon.stop)
+        self.callers = []
+
+    def add_caller(self, name, request_ids, requests, **options):
+        caller = SlowCaller(self.daemon.caller, requests, **options)
+        self.callers.append((name, request_ids, caller))
+        caller.start()
+        return caller
+
+    def check_answers(self, min_answers=1):
+        """Each request that ran has a complete answer, in order."""
+        for name, request_ids, caller in self.callers:
+            caller.join()
+            run = [request_id for request_id in request_ids
+                   if self.daemon.has_run(request_id)]
+            seen = [(answer.status, answer.received, answer.length)
+                    for answer in caller.answers]
+            with self.subTest(caller=name, ended=caller.ended, seen=seen):
+                self.assertGreaterEqual(
+                    caller.complete_answers(), max(min_answers, len(run)))
+                self.assertEqual(caller.answers[0].status, 200)
+
+    # Guards against large answers that a planned stop cuts because the caller
+    # has sent another request or a part of one.
+    def test_planned_stop_with_bytes_behind_a_request(self):
+        self.start()
+        stop_s = 0.5
+        # The instance reads no more requests 2.6 s after the stop begins.
+        answer_s = stop_s + 3.0
+        framings = itertools.cycle(FRAMINGS)
+        for size, moment_s in itertools.product(
+                ANSWER_BYTES, (0.0, 1.0, 2.4, 2.8, 3.1)):
+            label = f"{size}-{moment_s}"
+            behind = whole_requests(f"{label}-2")
+            behind["part"] = behind["length"][:-1]
+            for (kind, payload), framing in zip(behind.items(), framings):
+                name = f"{label}-{kind}"
+                self.add_caller(
+                    name, [f"{name}-1"],
+                    [(0.0, get(f"{name}-1", size, int(answer_s * 1000),
+                               framing)),
+                     (stop_s + moment_s, payload)],
+                    read_after_s=answer_s + 0.3)
+        time.sleep(stop_s)
+        self.daemon.terminate()
+        self.check_answers()
+
+    # As above, for answers that are written before the stop, so that they
+    # do not announce the end of the connection.
+    def test_planned_stop_while_answers_are_read(self):
+        self.start()
+        stop_s = 0.5
+        for size, moment_s in itertools.product(
+                (2_000_000, 4_000_000), (0.1, 1.0, 2.7)):
+            name = f"{size}-{moment_s}"
+            self.add_caller(
+                name, [f"{name}-1", f"{name}-2"],
+                [(0.0, get(f"{name}-1", size)),
+                 (stop_s + moment_s, get(f"{name}-2", 100))])
+        time.sleep(stop_s)
+        self.daemon.terminate()
+        self.check_answers()
+
+    # Guards against answers that are cut because the caller, which wants the
+    # connection to end, has sent bytes behind its request.
+    def test_bytes_behind_the_last_request(self):
+        self.start()
+        framings = itertools.cycle(FRAMINGS)
+        for size, moment_s in itertools.product(
+                ANSWER_BYTES, (0.0, 0.1, 0.3)):
+            label = f"{size}-{moment_s}"
+            behind = whole_requests(f"{label}-2")
+            for (kind, payload), framing in zip(behind.items(), framings):
+                name = f"{label}-{kind}"
+                self.add_caller(
+                    name, [f"{name}-1"],
+                    [(0.0, get(f"{name}-1", size, 0, framing,
+                               "Connection: close\r\n")),
+                     (moment_s, payload)],
+                    read_after_s=0.5)
+        self.check_answers()
+
+    # Guards against answers that are cut because a request behind them is
+    # refused and more of it arrives.
+    def test_refused_request_behind_an_answer(self):
+        self.start()
+        refused = {
+            "malformed": b"no request\r\n\r\n" + bytes(3000),
+            "header": b"GET / HTTP/1.1\r\nX: " + b"x" * (2 * MAX_HEADER_BYTES),
+            "body": post("never", f"Content-Length: {2 * MAX_BODY_BYTES}\r\n",
+                         bytes(100_000))}
+        for size, (kind, payload), moment_s in itertools.product(
+                ANSWER_BYTES, refused.items(), (0.0, 0.2)):
+            name = f"{size}-{kind}-{moment_s}"
+            self.add_caller(
+                name, [f"{name}-1"],
+                [(0.0, get(f"{name}-1", size)), (moment_s, payload),
+                 (0.4, bytes(3000))], read_after_s=0.6)
+        self.check_answers(min_answers=2)
+
+    # Guards against answers that are cut because reading them takes longer
+    # than a connection may be idle, and another request arrives then.
+    def test_answers_that_take_longer_than_the_idle_timeout(self):
+        self.start(idle_timeout_s=1)
+        for size, moment_s in itertools.product(
+                (2_000_000, 4_000_000), (1.35, 1.45)):
+            name = f"{size}-{moment_s}"
+            self.add_caller(name, [f"{name}-1"],
+                            [(0.0, get(f"{name}-1", size)),
+                             (moment_s, get(f"{name}-2", 100))])
+        self.check_answers()
+
+
+if __name__ == "__main__":
+    unittest.main()
