Answer earlier requests when a pipelined request stalls

Seen: a caller sent a request and a part of another one. header-timeout-s later its connection ended without an answer to the first, which an upstream was running.

Cause: CallerConnection::OnTimer() closed the connection if an earlier request was unanswered, since the refusal of the incomplete one could not be sent yet.

Change: the refusal is queued behind the answers of the earlier requests, as for a malformed request.

--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -413,11 +413,8 @@
     ArmTimer();
     return;
   }
-  // The incomplete request can be answered only if no earlier one is pending.
-  if (pending_.empty())
-    Refuse(ErrorKind::kRequestTimeout);
-  else
-    Close();
+  // Earlier requests on the connection are answered first.
+  Refuse(ErrorKind::kRequestTimeout);
 }
 
 void CallerConnection::Close() {
--- a/tests/system/test_ended_connections.py
+++ b/tests/system/test_ended_connections.py
@@ -151,6 +151,18 @@
                  (0.4, bytes(3000))], read_after_s=0.6)
         self.check_answers(min_answers=2)
 
+    # Guards against requests that get no answer because the next one on their
+    # connection stalls.
+    def test_stalled_request_behind_an_unanswered_one(self):
+        self.start(header_timeout_s=1)
+        for size, work_ms in itertools.product(ANSWER_BYTES, (0, 1500, 3000)):
+            for kind, payload in whole_requests(f"{size}-{work_ms}-2").items():
+                name = f"{size}-{work_ms}-{kind}"
+                self.add_caller(name, [f"{name}-1"],
+                                [(0.0, get(f"{name}-1", size, work_ms)),
+                                 (0.1, payload[:-2])])
+        self.check_answers(min_answers=2)
+
     # Guards against answers that are cut because reading them takes longer
     # than a connection may be idle, and another request arrives then.
     def test_answers_that_take_longer_than_the_idle_timeout(self):
