Complete the answer that a caller reads after it has closed its side

Seen: a caller that shuts down its sending side while it reads an answer of 8,000,000 bytes got 3,942,040 bytes.

Cause: the end of the stream closed the connection with the rest still in its buffer.

Change: what is being written is completed first. Requests that are still unanswered are canceled as before, since most callers that close their side are gone.

--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -122,7 +122,14 @@
   if (error) {
     if (!pending_.empty())
       handler_.OnCallerDisconnected(shared_from_this());
-    Close();
+    pending_.clear();
+    waiting_response_bytes_ = 0;
+    // A caller that has only closed its sending side receives what is being
+    // written.
+    if (error == boost::asio::error::eof && !write_buffer_.empty())
+      closing_ = true;
+    else
+      Close();
     return;
   }
   buffer_.commit(bytes);
--- a/tests/system/test_ended_connections.py
+++ b/tests/system/test_ended_connections.py
@@ -175,6 +175,18 @@
                              (moment_s, get(f"{name}-2", 100))])
         self.check_answers()
 
+    # Guards against answers that are cut because the caller has closed its
+    # side after the last request.
+    def test_caller_that_closes_its_side_while_it_reads(self):
+        self.start()
+        for size, moment_s in itertools.product(
+                (2_000_000, 8_000_000), (0.3, 0.6)):
+            name = f"{size}-{moment_s}"
+            self.add_caller(name, [f"{name}-1"],
+                            [(0.0, get(f"{name}-1", size)), (moment_s, b"")],
+                            half_closes=True)
+        self.check_answers()
+
 
 if __name__ == "__main__":
     unittest.main()
