Complete earlier answers when a later one does not fit into the memory

Seen: on a connection with pipelined requests, a response that does not fit into the memory account also cut the one before it.

Cause: CallerConnection closed the connection at once.

Change: the responses before the dropped one are sent, then the connection ends.

Result: "A dropped response leaves earlier ones whole" passes; with CloseSoon() in place of EndBefore() it fails.

--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -295,12 +295,31 @@
   if (!UpdateCharge()) {
     handler_.OnMemoryAction(
         CallerConnectionHandler::MemoryAction::kDropResponse, HeldBytes());
-    CloseSoon();
+    EndBefore(sequence);
     return;
   }
   Flush();
 }
 
+void CallerConnection::EndBefore(std::uint64_t sequence) {
+  const auto first =
+      std::ranges::find(pending_, sequence, &PendingResponse::sequence);
+  const bool is_first = first == pending_.begin();
+  if (is_first && write_buffer_.empty() && !HasUndelivered()) {
+    CloseSoon();
+    return;
+  }
+  pending_.erase(first, pending_.end());
+  waiting_response_bytes_ = 0;
+  for (const PendingResponse& pending : pending_)
+    waiting_response_bytes_ += pending.response ? pending.response->size() : 0;
+  UpdateCharge();
+  stopped_reading_ = true;
+  last_request_read_ = true;
+  if (is_first && write_buffer_.empty())
+    Linger(LingeringClose::Peer::kUninformed);
+}
+
 void CallerConnection::Flush() {
   if (!write_buffer_.empty() || closed_ || closes_soon_)
     return;
--- a/packages/entry/caller_connection.h
+++ b/packages/entry/caller_connection.h
@@ -110,6 +110,9 @@
   // Writes write_buffer_, which must not be empty.
   void Write();
   void OnWritten(boost::system::error_code error);
+  // Drops the response to the request `sequence` and all later ones, and ends
+  // the connection after the earlier ones.
+  void EndBefore(std::uint64_t sequence);
   // Ends the connection when the caller has received what was written.
   // Precondition: write_buffer_ is empty.
   void Linger(LingeringClose::Peer caller);
--- a/packages/entry/caller_connection_test.cc
+++ b/packages/entry/caller_connection_test.cc
@@ -111,6 +111,29 @@
   std::shared_ptr<CallerConnection> connection;
 };
 
+// Guards against an answer that is cut because a later one on its connection
+// does not fit into the memory.
+TEST_CASE_METHOD(Fixture, "A dropped response leaves earlier ones whole") {
+  // The first is delivered by the system alone, the second is not.
+  const std::size_t first_bytes = GENERATE(400 << 10, 8 << 20);
+  const bool in_order = GENERATE(true, false);
+  SendRequests(3);
+  if (in_order) {
+    Respond(0, first_bytes);
+    Respond(1, kMemoryBytes);
+  } else {
+    Respond(1, kMemoryBytes);
+    Respond(0, first_bytes);
+  }
+  CHECK(handler.dropped == 1);
+  boost::asio::write(caller, boost::asio::buffer(std::string("GET ")));
+  const std::string received = Read(2 * first_bytes);
+  CHECK(std::ranges::count(received, 'a') >=
+        static_cast<std::ptrdiff_t>(first_bytes));
+  caller.close();
+  CHECK(RunUntil(io, [&] { return handler.closed; }));
+}
+
 // Guards against a planned stop that closes a connection right after a response
 // that did not announce it, when the caller's next request is on its way.
 TEST_CASE_METHOD(Fixture, "A stop announces the end of a used connection") {
