Deliver the last response at the listeners for probes, metrics and instances

Seen: a client that sent bytes behind its last request lost responses, with a reset.

Cause: HttpServer closed the socket right after the last write, and at a malformed request with earlier responses undelivered. A new connection over the limit closed the one that had been inactive for longest, also if it was reading a response.

Change: these ends use LingeringClose, and over the limit connections without a response in progress go first.

--- a/packages/entry/http_server.cc
+++ b/packages/entry/http_server.cc
@@ -2,6 +2,7 @@
 
 #include "entry/http_server.h"
 
+#include <algorithm>
 #include <list>
 #include <optional>
 #include <utility>
@@ -10,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "base/lingering_close.h"
 #include "entry/socket_options.h"
 #include "http/http_parser.h"
 
@@ -66,6 +68,12 @@
     shared_->connections.erase(position_);
     boost::system::error_code ignored;
     socket_.close(ignored);
+    if (const auto lingering = lingering_.lock())
+      lingering->Close();
+  }
+
+  bool IsResponding() const {
+    return !write_buffer_.empty() || !socket_.is_open();
   }
 
  private:
@@ -85,7 +93,8 @@
       return;
     }
     if (status != ParseStatus::kDone) {
-      Close();
+      // The client may still be receiving earlier responses.
+      Linger(LingeringClose::Peer::kUninformed);
       return;
     }
     const HttpRequest request = std::move(parser_->request());
@@ -106,7 +115,8 @@
     write_buffer_ = FormatResponse(response, head_request, close);
     if (charge_ &&
         !charge_->TryResize(write_buffer_.size(), BootClock::now())) {
-      Close();
+      write_buffer_ = std::string();
+      Linger(LingeringClose::Peer::kUninformed);
       return;
     }
     boost::asio::async_write(
@@ -116,8 +126,10 @@
           self->write_buffer_ = std::string();
           if (self->charge_)
             self->charge_->Clear();
-          if (error || close)
+          if (error)
             self->Close();
+          else if (close)
+            self->Linger(LingeringClose::Peer::kInformed);
           else if (self->buffer_.size() > 0)
             self->Parse();
           else
@@ -125,6 +137,17 @@
         });
   }
 
+  void Linger(LingeringClose::Peer client) {
+    if (closed_ || !socket_.is_open())
+      return;
+    parser_.reset();
+    buffer_ = {};
+    lingering_ = LingeringClose::Start(
+        std::move(socket_), client,
+        {.on_progress = nullptr,
+         .on_closed = [self = shared_from_this()] { self->Close(); }});
+  }
+
   boost::asio::ip::tcp::socket socket_;
   const std::shared_ptr<SharedState> shared_;
   // Valid until the connection is closed.
@@ -135,6 +158,8 @@
   std::string write_buffer_;
   // The bytes of write_buffer_.
   std::optional<MemoryAccount::Charge> charge_;
+  // Has the socket while the client receives the last response.
+  std::weak_ptr<LingeringClose> lingering_;
   bool closed_ = false;
 };
 
@@ -163,8 +188,14 @@
 HttpServer::~HttpServer() = default;
 
 void HttpServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
-  if (shared_->connections.size() >= shared_->options.max_connections)
-    shared_->connections.front()->Close();
+  auto& connections = shared_->connections;
+  if (connections.size() >= shared_->options.max_connections) {
+    const auto idle =
+        std::ranges::find_if_not(connections, [](const Connection* connection) {
+          return connection->IsResponding();
+        });
+    (idle != connections.end() ? *idle : connections.front())->Close();
+  }
   std::make_shared<Connection>(std::move(socket), shared_)->Read();
 }
 
--- a/packages/entry/http_server.h
+++ b/packages/entry/http_server.h
@@ -28,7 +28,8 @@
   using Handler = std::function<void(const HttpRequest&, const Respond&)>;
 
   struct Options {
-    // A further connection closes the one that has been inactive for longest.
+    // A further connection closes the one that has been inactive for longest,
+    // preferably one to which no response is being sent.
     std::size_t max_connections = 4096;
     // A connection whose request has a larger body is closed.
     std::uint64_t body_bytes = 16 << 20;
--- a/tests/system/test_ended_connections.py
+++ b/tests/system/test_ended_connections.py
@@ -187,6 +187,35 @@
                             half_closes=True)
         self.check_answers()
 
+    # Guards against answers of the listeners for probes, metrics and other
+    # instances that are cut because the client has sent more.
+    def test_other_listeners(self):
+        self.start()
+        request = b"GET /metrics HTTP/1.1\r\nHost: a.example\r\n"
+        # The responses are small, so that only many fill the buffers.
+        count = 300
+        callers = []
+        for listener, behind, moment_s in itertools.product(
+                ("ready", "metrics", "instances"),
+                (request + b"\r\n", b"no request\r\n\r\n", bytes(100)),
+                (0.0, 0.1, 0.3)):
+            for fields in (b"Connection: close\r\n", b""):
+                caller = SlowCaller(
+                    self.daemon.listeners[listener],
+                    [(0.0, (request + b"\r\n") * (count - 1) + request +
+                      fields + b"\r\n"), (moment_s, behind)],
+                    read_after_s=0.5, end_s=4.0,
+                    receive_buffer_bytes=16 << 10)
+                callers.append((listener, behind[:10], moment_s, fields,
+                                caller))
+                caller.start()
+        for *name, caller in callers:
+            caller.join()
+            with self.subTest(caller=name, ended=caller.ended):
+                self.assertGreaterEqual(caller.complete_answers(), count)
+                self.assertEqual(caller.complete_answers(),
+                                 len(caller.answers))
+
 
 if __name__ == "__main__":
     unittest.main()
