Deliver the last answer of a connection in document mode

A caller that had sent more behind its last request, or whose connection ended in a planned stop, lost answers of 540 KB and more with a reset.

Cause: CallerSession closed the socket right after the write. It also ended a session in the middle of an answer when further requests did not fit into the memory, or when the answer took 30 s to write, however steadily the caller read.

Change: ByteStream::Linger() ends a session with LingeringClose. Further requests that do not fit are dropped, and the limit of 30 s holds for writes without progress.

--- a/packages/callers/caller_session.cc
+++ b/packages/callers/caller_session.cc
@@ -77,12 +77,24 @@
 }
 
 void CallerSession::CheckTimeout(BootTime now) {
-  if (now >= phase_deadline_)
+  // A LingeringClose has its own limits.
+  if (now < phase_deadline_ || phase_ == Phase::kLingering)
+    return;
+  const bool progresses = phase_ == Phase::kResponding &&
+                          stream_->bytes_written() > written_before_;
+  // A caller that is still receiving a response is not idle.
+  if (progresses || (phase_ == Phase::kIdle && stream_->HasUndelivered()))
+    EnterPhase(phase_);
+  else
     Close();
 }
 
 void CallerSession::CloseIfIdle() {
-  if (phase_ == Phase::kIdle)
+  if (phase_ != Phase::kIdle)
+    return;
+  if (stream_->HasUndelivered())
+    Linger(LingeringClose::Peer::kUninformed);
+  else
     Close();
 }
 
@@ -104,13 +116,15 @@
     return;
   phase_ = phase;
   phase_started_at_ = BootClock::now();
+  written_before_ = stream_->bytes_written();
   phase_deadline_ = phase_started_at_ + TimeoutOf(phase == Phase::kIdle,
                                                   phase == Phase::kReceiving,
                                                   phase == Phase::kHandling);
 }
 
 void CallerSession::StartRead() {
-  if (reading_ || phase_ == Phase::kEnded)
+  if (reading_ || last_request_read_ || phase_ == Phase::kLingering ||
+      phase_ == Phase::kEnded)
     return;
   // Beyond the limit, reading resumes after the response.
   if (phase_ == Phase::kHandling && buffer_.size() >= kMaxPipelinedBytes)
@@ -125,7 +139,7 @@
 
 void CallerSession::OnRead(error_code error, std::size_t bytes) {
   reading_ = false;
-  if (phase_ == Phase::kEnded)
+  if (phase_ == Phase::kLingering || phase_ == Phase::kEnded)
     return;
   if (error) {
     // A caller that closes its side after the last request still receives the
@@ -143,11 +157,17 @@
     if (phase_ == Phase::kReceiving && !UpdateCharge())
       Refuse(ErrorKind::kNotRunOverloaded);
   } else if (!UpdateCharge()) {
-    Close();
+    DropFurtherRequests();
   }
   StartRead();
 }
 
+void CallerSession::DropFurtherRequests() {
+  buffer_ = {};
+  UpdateCharge();
+  last_request_read_ = true;
+}
+
 bool CallerSession::UpdateCharge() {
   const std::size_t held = buffer_.size() + response_bytes_ +
                            (parser_ ? parser_->memory_bytes() : 0);
@@ -230,14 +250,16 @@
   exchange_ = nullptr;
   if (phase_ == Phase::kEnded)
     return;
-  close_after_response_ = close || !keep_alive_ || owner_.is_closing();
+  close_after_response_ =
+      close || !keep_alive_ || last_request_read_ || owner_.is_closing();
   EnterPhase(Phase::kResponding);
   std::string text =
       FormatResponse(response, head_request_, close_after_response_);
   response_bytes_ = text.size();
   if (!UpdateCharge()) {
     EventLog::Write(kResponseDropped, {{"bytes", response_bytes_}});
-    Close();
+    response_bytes_ = 0;
+    Linger(LingeringClose::Peer::kUninformed);
     return;
   }
   Write(std::move(text), [self = shared_from_this()](error_code error) {
@@ -249,10 +271,15 @@
   if (phase_ == Phase::kEnded)
     return;
   response_bytes_ = 0;
-  if (error || close_after_response_ || !keep_alive_) {
+  if (error) {
     Close();
     return;
   }
+  if (close_after_response_ || !keep_alive_ || last_request_read_) {
+    Linger(close_after_response_ ? LingeringClose::Peer::kInformed
+                                 : LingeringClose::Peer::kUninformed);
+    return;
+  }
   EnterPhase(Phase::kIdle);
   if (buffer_.size() > 0)
     Parse();
@@ -265,6 +292,14 @@
   StartRead();
 }
 
+void CallerSession::Linger(LingeringClose::Peer caller) {
+  EnterPhase(Phase::kLingering);
+  parser_.reset();
+  buffer_ = {};
+  UpdateCharge();
+  stream_->Linger(caller, [self = shared_from_this()] { self->Close(); });
+}
+
 void CallerSession::Write(std::string text,
                           std::function<void(error_code)> handler) {
   auto shared = std::make_shared<std::string>(std::move(text));
--- a/packages/callers/caller_session.h
+++ b/packages/callers/caller_session.h
@@ -55,7 +55,8 @@
   void Start();
   // Closes the session if its current phase has exceeded the time limit.
   void CheckTimeout(BootTime now);
-  // Closes the session if no request is in progress.
+  // Closes the session if no request is in progress, when the caller has
+  // received the earlier responses.
   void CloseIfIdle();
   // Returns whether no complete request is being handled or responded to.
   bool IsWaitingForCaller() const {
@@ -66,7 +67,15 @@
   void Close();
 
  private:
-  enum class Phase { kIdle, kReceiving, kHandling, kResponding, kEnded };
+  enum class Phase {
+    kIdle,
+    kReceiving,
+    kHandling,
+    kResponding,
+    // The caller receives the last response.
+    kLingering,
+    kEnded
+  };
 
   void StartRead();
   void OnRead(boost::system::error_code error, std::size_t bytes);
@@ -75,6 +84,11 @@
   void Refuse(ErrorKind kind);
   void Respond(const HttpResponse& response, bool close);
   void OnResponseWritten(boost::system::error_code error);
+  // Ends the session when the caller has received what was written.
+  void Linger(LingeringClose::Peer caller);
+  // Drops what was read of further requests, of which there is no room, and
+  // ends the session after the response.
+  void DropFurtherRequests();
   void Write(std::string text,
              std::function<void(boost::system::error_code)> handler);
   void EnterPhase(Phase phase);
@@ -104,6 +118,10 @@
   bool head_request_ = false;
   bool keep_alive_ = true;
   bool close_after_response_ = false;
+  // Set once no further request is read.
+  bool last_request_read_ = false;
+  // ByteStream::bytes_written() when the phase deadline was set.
+  std::uint64_t written_before_ = 0;
 };
 
 }  // namespace pollenrudder
--- a/packages/upstreams/byte_stream.cc
+++ b/packages/upstreams/byte_stream.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -43,12 +44,33 @@
   }
 
   void Write(boost::asio::const_buffer buffer, Handler handler) override {
-    boost::asio::async_write(socket_, buffer, std::move(handler));
+    boost::asio::async_write(
+        socket_, buffer,
+        [this, before = bytes_written_](error_code error, std::size_t bytes) {
+          bytes_written_ = before + bytes;
+          return boost::asio::transfer_all()(error, bytes);
+        },
+        std::move(handler));
+  }
+
+  std::uint64_t bytes_written() const override { return bytes_written_; }
+
+  bool HasUndelivered() override {
+    return UnacknowledgedBytes(socket_).value_or(0) > 0;
+  }
+
+  void Linger(LingeringClose::Peer peer,
+              std::function<void()> handler) override {
+    lingering_ = LingeringClose::Start(
+        std::move(socket_), peer,
+        {.on_progress = nullptr, .on_closed = std::move(handler)});
   }
 
   void Close() override {
     error_code ignored;
     socket_.close(ignored);
+    if (const auto lingering = lingering_.lock())
+      lingering->Close();
   }
 
   tcp::endpoint remote_endpoint() const override {
@@ -63,6 +85,9 @@
   }
 
   tcp::socket socket_;
+  std::uint64_t bytes_written_ = 0;
+  // Has the socket after Linger().
+  std::weak_ptr<LingeringClose> lingering_;
 };
 
 }  // namespace
--- a/packages/upstreams/byte_stream.h
+++ b/packages/upstreams/byte_stream.h
@@ -3,6 +3,7 @@
 #ifndef POLLENRUDDER_UPSTREAMS_BYTE_STREAM_H_
 #define POLLENRUDDER_UPSTREAMS_BYTE_STREAM_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -10,6 +11,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
 
+#include "base/lingering_close.h"
+
 namespace pollenrudder {
 
 // Interface between the HTTP code and the transport. Create a stream with a
@@ -33,6 +36,15 @@
   // Writes the whole buffer. On an error, the count is the number of bytes that
   // may have reached the remote side.
   virtual void Write(boost::asio::const_buffer buffer, Handler handler) = 0;
+  // The bytes of the writes so far, also of one that is not complete.
+  virtual std::uint64_t bytes_written() const = 0;
+  // Whether the system still holds written bytes for the remote side.
+  virtual bool HasUndelivered() = 0;
+  // Closes the stream when the remote side has received what was written, then
+  // calls `handler`, but not after Close(). Call nothing else but Close()
+  // afterwards.
+  virtual void Linger(LingeringClose::Peer peer,
+                      std::function<void()> handler) = 0;
   // Cancels pending operations; their handlers are called with an error.
   virtual void Close() = 0;
   // The address of the remote side, or an unspecified address if it is unknown.
