Deliver the last response at the listener for operators

Seen: a client that sent bytes behind a request with "Connection: close" lost the response of /metrics, with a reset.

Cause: AdminServer closed the socket right after the write.

Change: it uses LingeringClose.

--- a/packages/operators/admin_server.cc
+++ b/packages/operators/admin_server.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/lingering_close.h"
 #include "base/socket_address.h"
 #include "operators/admin_handler.h"
 
@@ -73,6 +74,8 @@
         [self = shared_from_this()](beast::error_code error, std::size_t) {
           if (!error)
             self->WriteResponse();
+          else if (error != http::error::end_of_stream)
+            self->Linger(LingeringClose::Peer::kUninformed);
         });
   }
 
@@ -82,11 +85,22 @@
     http::async_write(
         stream_, response_,
         [self = shared_from_this()](beast::error_code error, std::size_t) {
-          if (!error && self->response_.keep_alive())
+          if (error)
+            return;
+          if (self->response_.keep_alive())
             self->Read();
+          else
+            self->Linger(LingeringClose::Peer::kInformed);
         });
   }
 
+  // Ends the session when the client has received the last response.
+  void Linger(LingeringClose::Peer client) {
+    LingeringClose::Start(
+        stream_.release_socket(), client,
+        {.on_progress = nullptr, .on_closed = [self = shared_from_this()] {}});
+  }
+
   beast::tcp_stream stream_;
   AdminHandler& handler_;
   const std::shared_ptr<int> count_;
--- a/tests/system/test_document_ended_connections.py
+++ b/tests/system/test_document_ended_connections.py
@@ -107,6 +107,22 @@
                              (0.6, bytes(3000))], read_after_s=0.8)
         self.check_answers()
 
+    # Guards against answers of the listener for operators that are cut because
+    # the client has sent more.
+    def test_admin_listener(self):
+        self.start()
+        fields = "Connection: close\r\n"
+        for behind, moment_s in itertools.product(
+                (get(0, target="/metrics"), b"no request\r\n\r\n"),
+                (0.0, 0.1, 0.3)):
+            caller = SlowCaller(
+                self.daemon.admin,
+                [(0.0, get(0, fields, "/metrics")), (moment_s, behind)],
+                read_after_s=0.5, end_s=3.0, receive_buffer_bytes=16 << 10)
+            self.callers.append((f"{behind[:10]}-{moment_s}", caller))
+            caller.start()
+        self.check_answers()
+
 
 if __name__ == "__main__":
     unittest.main()
