Do not take a reset during an upload for the end of a response

Seen (MIXED): an upstream answered a long upload with a 200 without a length, sent a part of the body and reset the connection. The caller got the part as the whole answer.

Cause: the system reports a reset once. It went to the write of the request, whose failure HttpClient ignored while a read was pending, and the read got the end of the stream, which completes a body without a length.

Change: the end of the stream completes a body only if no write has failed and the system does not call the connection reset.

--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -56,6 +56,7 @@
   options_ = std::move(options);
   handler_ = std::move(handler);
   write_started_ = false;
+  write_failed_ = false;
   skipped_responses_ = 0;
   ++call_id_;
   if (options_.memory)
@@ -148,6 +149,7 @@
         self->options_.body.reset();
         if (call_id != self->call_id_ || !error)
           return;
+        self->write_failed_ = true;
         // The server may have rejected the request before reading all of it,
         // and its response may have arrived; the pending read decides.
         if (!self->reading_)
@@ -185,8 +187,7 @@
     return;
   }
   if (error) {
-    if (error == boost::asio::error::eof &&
-        parser_->EndOfStream() == ParseStatus::kDone) {
+    if (IsEndedBy(error)) {
       unusable_ = true;
       FinishResponse();
       return;
@@ -228,6 +229,14 @@
   FinishResponse();
 }
 
+bool HttpClient::IsEndedBy(boost::system::error_code error) {
+  // The system reports a reset once, to the write if one is in progress. A read
+  // then gets the end of the stream.
+  const bool was_reset = write_failed_ || HasBeenReset(socket_);
+  return error == boost::asio::error::eof && !was_reset &&
+         parser_->EndOfStream() == ParseStatus::kDone;
+}
+
 void HttpClient::FinishResponse() {
   HttpResponse& response = parser_->response();
   last_response_time_ = BootClock::now();
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -130,6 +130,8 @@
   void OnTimeout();
   void Finish(HttpCallResult result);
   void FinishResponse();
+  // Whether the response ends with the connection, of which `error` was read.
+  bool IsEndedBy(boost::system::error_code error);
   // Counts received bytes; returns false if the response has to be given up.
   bool TryAddReceived(std::size_t bytes);
   void ReleaseReceived();
@@ -159,6 +161,7 @@
   // Invariant: request_ and options_.body do not change while this is set.
   bool writing_ = false;
   bool write_started_ = false;
+  bool write_failed_ = false;
   bool unusable_ = false;
   bool has_unidentified_response_ = false;
   BootTime connected_at_{};
--- a/packages/entry/socket_options.cc
+++ b/packages/entry/socket_options.cc
@@ -53,6 +53,14 @@
   SetOption(socket, TCP_WINDOW_CLAMP, static_cast<int>(bytes));
 }
 
+bool HasBeenReset(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                    &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE;
+}
+
 void ResetConnection(boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/tests/system/platform_processes.py
+++ b/tests/system/platform_processes.py
@@ -128,7 +128,8 @@
     """pollenrudderd --platform with one route, "/", and one upstream."""
 
     def __init__(self, folder, memory_mb, max_body_bytes, max_fds=4100,
-                 slots=40, header_timeout_s=3600, idle_timeout_s=3600):
+                 slots=40, header_timeout_s=3600, idle_timeout_s=3600,
+                 upstream_address=None):
         self._server = _Server(("127.0.0.1", 0), _Handler)
         self._server.stopped = threading.Event()
         # The ids of the requests that the upstream has run.
@@ -144,7 +145,8 @@
         self._server.topics = {
             "keyed.op": [("config", self._configuration())],
             "keyed.servers": [("i-1", json.dumps({
-                "service": "one", "address": address, "zone": "a1",
+                "service": "one", "address": upstream_address or address,
+                "zone": "a1",
                 "slots": slots, "state": "ready", "born": 1, "sequence": 1}))]}
         threading.Thread(target=self._server.serve_forever,
                          daemon=True).start()
