Require a length of responses between the parts of the system

Seen: a response of the store, of another instance or of an upstream to a key call, and in document mode of the log and the list, was complete when its connection ended.

Cause: the clients accept a body without a length. A process that crashes closes its connections without a reset if it has read everything, so the body may be a part.

Change: HttpClient accepts such a body only for requests of callers. HttpConnection and SendHttpRequest() refuse it.

--- a/packages/entry/forwarder_attempts.cc
+++ b/packages/entry/forwarder_attempts.cc
@@ -81,6 +81,7 @@
   options.timeout = left + kResponseGrace * 2;
   options.connect_timeout = kConnectTimeout;
   options.head_request = request.received->message.method == "HEAD";
+  options.close_delimited = CloseDelimited::kAccept;
   options.response_budget = &response_budget_;
   options.memory = memory_;
   options.body = {request.received, &request.received->message.body};
--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -63,7 +63,7 @@
     memory_charge_.emplace(options_.memory);
   parser_ = std::make_unique<HttpResponseParser>(
       ParseLimits{.body_bytes = options_.body_limit}, options_.head_request,
-      CloseDelimited::kAccept);
+      options_.close_delimited);
   ArmTimer(connected_ ? options_.timeout
                       : std::min(options_.connect_timeout, options_.timeout));
   if (connected_)
@@ -224,7 +224,7 @@
     }
     parser_ = std::make_unique<HttpResponseParser>(
         ParseLimits{.body_bytes = options_.body_limit}, options_.head_request,
-        CloseDelimited::kAccept);
+        options_.close_delimited);
   }
   FinishResponse();
 }
--- a/packages/entry/http_client.h
+++ b/packages/entry/http_client.h
@@ -64,6 +64,10 @@
     // Timeout for opening the connection.
     std::chrono::nanoseconds connect_timeout = std::chrono::seconds(1);
     bool head_request = false;
+    // Whether a body without a length may end with the connection. Such a body
+    // is whole if the server closed its side, and broken off if the connection
+    // was reset.
+    CloseDelimited close_delimited = CloseDelimited::kRefuse;
     // Decides whether a response belongs to this call; others are skipped. If
     // unset, every response is accepted.
     std::function<ResponseMatch(const HttpResponse&)> match;
--- a/packages/entry/http_client_test.cc
+++ b/packages/entry/http_client_test.cc
@@ -54,6 +54,7 @@
              HttpClient::Handler handler) {
     HttpClient::CallOptions options;
     options.timeout = 10s;
+    options.close_delimited = close_delimited;
     options.response_budget = &budget;
     options.match = [id](const HttpResponse& response) {
       const auto named = FindHeader(response.header_lines, "Id");
@@ -67,6 +68,7 @@
 
   boost::asio::io_context io{1};
   ResponseBudget budget{4 << 20};
+  CloseDelimited close_delimited = CloseDelimited::kAccept;
 };
 
 // Guards against a body that is copied, lost or kept after it was sent.
@@ -226,6 +228,20 @@
         (end == ScriptedResponse::End::kClose));
 }
 
+// Guards against a response between the parts of the system that is used
+// although a crash may have cut it.
+TEST_CASE("HttpClient refuses a body without length by default") {
+  Fixture fixture;
+  fixture.close_delimited = HttpClient::CallOptions().close_delimited;
+  ScriptedServer server(fixture.io, [&](const std::string&, int) {
+    return ScriptedResponse{"HTTP/1.1 200 OK\r\nId: r1\r\n\r\nbody", "",
+                            ScriptedResponse::End::kClose};
+  });
+  const auto outcome = fixture.Call(fixture.MakeClient(server), "r1");
+  REQUIRE(outcome);
+  CHECK(outcome->result == HttpCallResult::kInvalidResponse);
+}
+
 // Guards against bytes without end that occupy the instance until the deadline
 // or take its memory: in the head, in a chunk's head, in bodies of each kind,
 // in interim responses and in responses to other requests.
--- a/packages/logstore/http_connection.cc
+++ b/packages/logstore/http_connection.cc
@@ -118,7 +118,10 @@
                           std::chrono::steady_clock::now() + kProgressTimeout);
     }
   }
-  co_return boost::system::error_code();
+  // A body that ends with the connection may have been cut by a crash.
+  co_return parser.need_eof()
+      ? http::make_error_code(http::error::partial_message)
+      : boost::system::error_code();
 }
 
 void HttpConnection::Close() {
--- a/packages/operators/http_client.cc
+++ b/packages/operators/http_client.cc
@@ -61,9 +61,14 @@
   }
 
   void Read() {
-    http::async_read(
-        stream_, buffer_, parser_,
-        [this](beast::error_code error, std::size_t) { CheckResult(error); });
+    http::async_read(stream_, buffer_, parser_,
+                     [this](beast::error_code error, std::size_t) {
+                       // A body that ends with the connection may have been cut
+                       // by a crash.
+                       if (!error && parser_.need_eof())
+                         error = http::error::partial_message;
+                       CheckResult(error);
+                     });
   }
 
   asio::io_context context_;
