Exit in order when a signal arrives at the start or the end of the process

Seen: a SIGTERM, SIGINT or SIGHUP that arrives after the event loop has ended, or before it has begun, ends the process by the signal: exit by signal 15, 2 or 1 instead of 0 in 3 of 3 planned stops with signals until the process is gone.

Cause: the handlers are installed after the instance has started and removed while it is destroyed. The thread that writes log lines takes signals, too.

Result: test_signals_until_the_process_is_gone fails before and passes after.

--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -2,6 +2,8 @@
 
 #include "base/event_log.h"
 
+#include <signal.h>
+
 #include <easylogging++.h>
 
 #include <atomic>
@@ -165,6 +167,12 @@
   static constexpr std::chrono::milliseconds kFlushPollInterval{1};
 
   void Run() {
+    // The main thread decides how the process reacts to these.
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+      sigaddset(&signals, signal);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     while (true) {
       const bool stopping = stopped_;
       std::optional<Line> line = ring_.PopFor(kIdlePollInterval);
--- a/tests/system/test_ended_connections.py
+++ b/tests/system/test_ended_connections.py
@@ -5,6 +5,7 @@
 the whole request arrives complete if the upstream has run the request.
 """
 import itertools
+import signal
 import tempfile
 import time
 import unittest
@@ -187,6 +188,18 @@
                             half_closes=True)
         self.check_answers()
 
+    # Guards against a process that a further signal ends before it has stopped.
+    def test_signals_until_the_process_is_gone(self):
+        self.start()
+        for stop_signal in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            self.daemon.terminate()
+            while self.daemon.running():
+                self.daemon.send_signal(stop_signal)
+                time.sleep(0.0002)
+            with self.subTest(signal=stop_signal):
+                self.assertEqual(self.daemon.wait(), 0)
+            self.daemon.start()
+
     # Guards against answers of the listeners for probes, metrics and other
     # instances that are cut because the client has sent more.
     def test_other_listeners(self):
