Soak answers to slow callers beside planned stops, signals and configurations

Random callers pipeline requests and use their connections until these end or the process is gone, while instances are stopped and started, get signals and new configurations in series. Each request that has run must be answered on its connection.

--- a/tests/system/platform_processes.py
+++ b/tests/system/platform_processes.py
@@ -141,7 +141,7 @@
         self._timeouts = {"header-timeout-s": header_timeout_s,
                           "idle-timeout-s": idle_timeout_s}
         self._version = 1
-        self._prefix = "/"
+        self.prefix = "/"
         self._server.topics = {
             "keyed.op": [("config", self._configuration())],
             "keyed.servers": [("i-1", json.dumps({
@@ -177,7 +177,7 @@
     def _configuration(self):
         resources = [
             ("routes", "all", {
-                "hostname": "a.example", "path-prefix": self._prefix,
+                "hostname": "a.example", "path-prefix": self.prefix,
                 "kind": "unsafe", "timeout-s": 20, "service": "one"}),
             ("services", "one", {
                 "health-path": "/health", "max-connections": self._slots,
@@ -192,7 +192,7 @@
     def move_route(self):
         """Publishes a configuration whose only route has another prefix."""
         self._version += 1
-        self._prefix = f"/{self._version}/"
+        self.prefix = f"/{self._version}/"
         self._server.topics["keyed.op"].append(
             ("config", self._configuration()))
 
@@ -213,7 +213,7 @@
         """Returns whether a request with this body is served on the route of
         the newest configuration."""
         try:
-            return processes.request(self.caller, "POST", self._prefix, body,
+            return processes.request(self.caller, "POST", self.prefix, body,
                                      {"Host": "a.example"})[0] == 200
         except OSError:
             return False
--- a/tests/system/slow_caller.py
+++ b/tests/system/slow_caller.py
@@ -30,12 +30,13 @@
     the answers from `read_after_s` on, as fast as its link carries them.
 
     It sends nothing once it has read the head of an answer that closes the
-    connection. It ends with its connection, or when no answer is missing
-    after `end_s`.
+    connection, and waits while `max_unanswered` answers are missing. It ends
+    with its connection, when `answers` are complete, or after `end_s`.
     """
 
     def __init__(self, address, requests, read_after_s=0.0, end_s=12.0,
                  bytes_per_second=BYTES_PER_SECOND, half_closes=False,
+                 max_unanswered=None, answers=None,
                  receive_buffer_bytes=RECEIVE_BUFFER_BYTES):
         super().__init__(daemon=True)
         host, port = address.rsplit(":", 1)
@@ -43,12 +44,19 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                                 receive_buffer_bytes)
         self._socket.settimeout(10.0)
-        self._socket.connect((host, int(port)))
+        try:
+            self._socket.connect((host, int(port)))
+        except OSError:
+            self._socket.close()
+            raise
         self._requests = list(requests)
         self._read_after_s = read_after_s
         self._end_s = end_s
         self._rate = bytes_per_second
         self._half_closes = half_closes
+        self._max_unanswered = max_unanswered or len(self._requests)
+        self._sent = 0
+        self._expected = answers
         self._rest = b""
         self._start_time = time.monotonic()
         self.answers = []
@@ -68,7 +76,8 @@
 
     def _run(self):
         self._start_time = time.monotonic()
-        while self._elapsed() < self._end_s and not self.ended:
+        while (self._elapsed() < self._end_s and not self.ended and
+               self.complete_answers() != self._expected):
             self._send_due()
             if self._elapsed() < self._read_after_s:
                 time.sleep(0.005)
@@ -92,13 +101,15 @@
                 time.sleep(pause)
 
     def _send_due(self):
-        while self._requests and self._elapsed() >= self._requests[0][0]:
+        while (self._requests and self._elapsed() >= self._requests[0][0] and
+               self._sent - self.complete_answers() < self._max_unanswered):
             _, payload = self._requests.pop(0)
             if any(answer.closes for answer in self.answers):
                 continue
             self._socket.settimeout(10.0)
             try:
                 self._socket.sendall(payload)
+                self._sent += 1
             except ConnectionError:
                 # The instance has closed; what has arrived is still read.
                 self._requests.clear()
