Compare an answer that ends with its connection with the request

Change: the end of the connection and the end of a body with a length go through the same comparison. Nothing can follow an answer to another request here, so the call ends as one with an invalid response.

"HttpClient does not take a late copy without length for its own" fails before and passes after.

--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -186,18 +186,16 @@
     Finish(HttpCallResult::kInvalidResponse);
     return;
   }
-  if (error) {
-    if (IsEndedBy(error)) {
-      unusable_ = true;
-      FinishResponse();
-      return;
-    }
+  const bool at_end = error.failed();
+  if (at_end && !IsEndedBy(error)) {
     Finish(parser_->started() ? HttpCallResult::kInvalidResponse
                               : HttpCallResult::kConnectionLost);
     return;
   }
+  unusable_ |= at_end;
   while (true) {
-    const ParseStatus status = parser_->Parse(buffer_);
+    const ParseStatus status =
+        at_end ? ParseStatus::kDone : parser_->Parse(buffer_);
     if (status == ParseStatus::kNeedMore) {
       if (options_.progress_timeout.count() > 0)
         ArmTimer(options_.progress_timeout);
@@ -218,7 +216,7 @@
     if (match != ResponseMatch::kOther)
       break;
     // A late response to an earlier request.
-    if (++skipped_responses_ > kMaxSkippedResponses) {
+    if (at_end || ++skipped_responses_ > kMaxSkippedResponses) {
       Finish(HttpCallResult::kInvalidResponse);
       return;
     }
--- a/packages/entry/http_client_test.cc
+++ b/packages/entry/http_client_test.cc
@@ -228,6 +228,26 @@
         (end == ScriptedResponse::End::kClose));
 }
 
+// As above, for a copy whose body ends with its connection.
+TEST_CASE("HttpClient does not take a late copy without length for its own") {
+  const bool own_follows = GENERATE(false, true);
+  Fixture fixture;
+  ScriptedServer server(fixture.io, [&](const std::string& head, int number) {
+    const std::string response = ResponseTo(head, std::to_string(number));
+    if (number == 1)
+      return ScriptedResponse{response, "", {}};
+    return ScriptedResponse{"HTTP/1.1 200 OK\r\nId: r1\r\n\r\n1" +
+                                (own_follows ? response : std::string()),
+                            "", ScriptedResponse::End::kClose};
+  });
+  const auto client = fixture.MakeClient(server);
+  CHECK(fixture.Call(client, "r1")->body == "1");
+  REQUIRE(client->IsReusable());
+  const auto second = fixture.Call(client, "r2");
+  CHECK(second->result == HttpCallResult::kInvalidResponse);
+  CHECK_FALSE(client->IsReusable());
+}
+
 // Guards against a response between the parts of the system that is used
 // although a crash may have cut it.
 TEST_CASE("HttpClient refuses a body without length by default") {
--- a/tests/system/raw_upstream.py
+++ b/tests/system/raw_upstream.py
@@ -27,6 +27,7 @@
     bytes    of its body that are sent; "length" announces 1,000 more
     read     bytes of the request's body that are read before the end
     hold-ms  pause before the end
+    id       of the request that the answer names, if not its own
     end      reset; close, which resets if bytes are unread; or shutdown, after
              which the rest of the request's body is read
     """
@@ -84,7 +85,8 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         size = int(query["bytes"])
         framing = query["framing"]
-        connection.sendall(_head(framing, size + 1000, request_id))
+        connection.sendall(_head(framing, size + 1000,
+                                 query.get("id", request_id)))
         connection.sendall((b"%x\r\n" % size if framing == "chunked" else b"")
                            + bytes(size))
         to_read = min(int(query["read"]), missing)
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -40,7 +40,8 @@
         try:
             status, _, body = processes.request(
                 self.daemon.caller, "POST", target, bytes(upload_bytes),
-                {"Host": "a.example"}, timeout_s=30.0)
+                {"Host": "a.example", "X-Pollenrudder-Request-Id": "own"},
+                timeout_s=30.0)
             return status, len(body)
         except (OSError, http.client.HTTPException):
             return None
@@ -89,6 +90,19 @@
             with self.subTest(upload=upload, framing=framing, hold_ms=hold_ms):
                 self.assertEqual(answer, (200, size))
 
+    # Guards against a late copy of the answer to another request that reaches a
+    # caller because it ends with its connection.
+    def test_answer_to_another_request(self):
+        self.start()
+        for upload, framing, size, hold_ms in itertools.product(
+                UPLOAD_BYTES, ("none", "http-1.0", "close"), PART_BYTES,
+                (0, 200)):
+            answer = self.answer_to(upload, framing=framing, bytes=size, read=0,
+                                    hold_ms=hold_ms, end="shutdown", id="other")
+            with self.subTest(upload=upload, framing=framing, size=size,
+                              hold_ms=hold_ms, answer=answer):
+                self.assertNotEqual(answer and answer[0], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
