--- a/packages/base/lingering_close.h
+++ b/packages/base/lingering_close.h
@@ -37,9 +37,8 @@
     // expected to be processed.
     kInformed,
     // It finds out when the sending side is shut down, or at the end if it has
-    // received everything before. What it sends after that stays unread, so
-    // that
-    // the reset shows that it was not processed.
+    // received everything before. What it sends afterwards stays unread, so
+    // that the reset shows that it was not processed.
     kUninformed,
   };
   struct Handlers {
--- a/packages/entry/caller_connection.cc
+++ b/packages/entry/caller_connection.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/completion_condition.hpp>
