--- a/packages/base/event_log.cc
+++ b/packages/base/event_log.cc
@@ -2,12 +2,11 @@
 
 #include "base/event_log.h"
 
-#include <signal.h>
-
 #include <easylogging++.h>
 
 #include <atomic>
 #include <cassert>
+#include <csignal>
 #include <cstddef>
 #include <optional>
 #include <thread>
