Leave bytes unread that arrive once a peer has received everything

By reading: LingeringClose checks that a peer that was not told of the end has bytes outstanding, and then reads all that is there, which may include a request that arrived after the check. It now reads only what had arrived before. No test shows the difference; it would have to hit the microseconds between two system calls.

--- a/packages/base/lingering_close.cc
+++ b/packages/base/lingering_close.cc
@@ -5,6 +5,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <utility>
@@ -100,15 +101,19 @@
 }
 
 void LingeringClose::DiscardInput() {
-  // What arrives before the peer has acknowledged everything was sent before it
-  // could find out that the connection ends.
+  // What has arrived before the peer acknowledged everything was sent before it
+  // could find out that the connection ends. Bytes that arrive after the check
+  // are therefore not read with the others.
+  error_code error;
+  const std::size_t arrived = socket_.available(error);
   if (peer_ == Peer::kUninformed && IsDelivered()) {
     End();
     return;
   }
   std::array<char, kReadBytes> bytes;
-  error_code error;
-  socket_.read_some(boost::asio::buffer(bytes), error);
+  // With nothing to read, this finds the end of the stream or the error.
+  const std::size_t size = std::clamp<std::size_t>(arrived, 1, bytes.size());
+  socket_.read_some(boost::asio::buffer(bytes, size), error);
   if (error && error != boost::asio::error::would_block) {
     End();
     return;
--- a/packages/base/lingering_close.h
+++ b/packages/base/lingering_close.h
@@ -16,7 +16,7 @@
 namespace pollenrudder {
 
 // Returns the bytes that were written to `socket` and that the peer has not
-// acknowledged, or nothing if the system does not tell.
+// acknowledged, or nothing if the socket is not connected.
 std::optional<std::size_t> UnacknowledgedBytes(
     boost::asio::ip::tcp::socket& socket);
 
--- a/tests/system/test_ended_connections.py
+++ b/tests/system/test_ended_connections.py
@@ -115,6 +115,45 @@
         self.daemon.terminate()
         self.check_answers()
 
+    # As above, for answers that are still on their way when the process ends.
+    def test_planned_stop_that_ends_while_answers_are_read(self):
+        self.start()
+        stop_s = 0.5
+        # The grace period is 6 s, and the last answers take 3.2 s to read.
+        answer_s = stop_s + 4.3
+        framings = itertools.cycle(FRAMINGS)
+        for size, moment_s in itertools.product(
+                (2_000_000, 4_000_000), (0.0, 2.8, 4.5)):
+            name = f"{size}-{moment_s}"
+            self.add_caller(
+                name, [f"{name}-1"],
+                [(0.0, get(f"{name}-1", size, int(answer_s * 1000),
+                           next(framings))),
+                 (stop_s + moment_s, get(f"{name}-2", 100))],
+                read_after_s=answer_s + 0.3)
+        time.sleep(stop_s)
+        self.daemon.terminate()
+        self.check_answers()
+        self.assertFalse(self.daemon.running())
+
+    # Guards against requests that run without an answer because they are sent
+    # just as a planned stop ends their connection.
+    def test_next_request_as_the_connection_ends(self):
+        self.start()
+        for number in range(20):
+            # Between two requests, some callers are idle for long enough that
+            # their connection is closed.
+            pause_s = (0.0, 0.01, 0.3, 0.34)[number % 4]
+            ids = [f"{number}-{index}" for index in range(400)]
+            self.add_caller(
+                str(number), ids,
+                [(index * pause_s, whole_requests(request_id)["length"])
+                 for index, request_id in enumerate(ids)],
+                max_unanswered=1, end_s=4.0)
+        time.sleep(0.5)
+        self.daemon.terminate()
+        self.check_answers()
+
     # Guards against answers that are cut because the caller, which wants the
     # connection to end, has sent bytes behind its request.
     def test_bytes_behind_the_last_request(self):
