Require an orderly end of the connection for a body without a length

Cause: a reset was recognized by the state CLOSE, so that an unknown state counted as an orderly end.

Change: the body is whole only if the system reports that the peer has closed its side (CLOSE_WAIT).

--- a/packages/entry/http_client.cc
+++ b/packages/entry/http_client.cc
@@ -230,9 +230,8 @@
 bool HttpClient::IsEndedBy(boost::system::error_code error) {
   // The system reports a reset once, to the write if one is in progress. A read
   // then gets the end of the stream.
-  const bool was_reset = write_failed_ || HasBeenReset(socket_);
-  return error == boost::asio::error::eof && !was_reset &&
-         parser_->EndOfStream() == ParseStatus::kDone;
+  return error == boost::asio::error::eof && !write_failed_ &&
+         HasOrderlyEnd(socket_) && parser_->EndOfStream() == ParseStatus::kDone;
 }
 
 void HttpClient::FinishResponse() {
--- a/packages/entry/socket_options.cc
+++ b/packages/entry/socket_options.cc
@@ -53,12 +53,12 @@
   SetOption(socket, TCP_WINDOW_CLAMP, static_cast<int>(bytes));
 }
 
-bool HasBeenReset(boost::asio::ip::tcp::socket& socket) {
+bool HasOrderlyEnd(boost::asio::ip::tcp::socket& socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
   return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
                     &size) == 0 &&
-         info.tcpi_state == TCP_CLOSE;
+         info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
 void ResetConnection(boost::asio::ip::tcp::socket& socket) {
--- a/packages/entry/socket_options.h
+++ b/packages/entry/socket_options.h
@@ -20,10 +20,10 @@
                       std::size_t bytes);
 void SetReceiveBuffer(boost::asio::ip::tcp::socket& socket, std::size_t bytes);
 
-// Whether the connection has ended by a reset or a timeout, so that the end of
-// its stream is not one that the peer has sent. False if the system does not
-// tell.
-bool HasBeenReset(boost::asio::ip::tcp::socket& socket);
+// Whether the peer has closed its side in order. False after a reset or a
+// timeout, also if a read reports the end of the stream, and if the system does
+// not tell.
+bool HasOrderlyEnd(boost::asio::ip::tcp::socket& socket);
 
 // Closes with a TCP reset, so that bytes delayed by a network partition are
 // discarded.
