Show since when an instance does not know the state of the upstreams

Cause: the logs do not tell an instance that is cut off from the list and from the evacuations from one that divides the rate of a cold upstream by a wrong number of instances; the first had to be guessed from a missing evacuations_changed.

Change: FleetContact records as of when an instance knows the list and the evacuated zones. Relayed updates carry the age of both, so that a relay that repeats an old update does not pass for recent knowledge. New events fleet_contact_lost and fleet_contact_restored, metric entry_fleet_age_seconds, and the number of instances in upstream_cold_period.

Result: tests of fleet, dispatch and entry pass.

--- a/packages/dispatch/dispatch_listener.h
+++ b/packages/dispatch/dispatch_listener.h
@@ -26,10 +26,12 @@
   virtual void OnSend(const DispatchRequest& request,
                       const ListedUpstream& upstream) = 0;
   // A cold period of `upstream` has begun, in which the requests to it are
-  // limited. `reason` is a fixed word for logs and metrics.
+  // divided among `instances` instances. `reason` is a fixed word for logs and
+  // metrics.
   virtual void OnColdPeriod(const ListedUpstream& upstream,
                             std::string_view reason,
-                            std::chrono::nanoseconds duration) = 0;
+                            std::chrono::nanoseconds duration,
+                            std::uint32_t instances) = 0;
   // `kind` is one of the kNotRun kinds. `retry_after` is the time after which
   // capacity is likely to be available.
   virtual void OnRefuse(const DispatchRequest& request,
--- a/packages/dispatch/dispatcher_fixture_test.h
+++ b/packages/dispatch/dispatcher_fixture_test.h
@@ -37,7 +37,8 @@
   }
   void OnColdPeriod(const ListedUpstream& upstream,
                     std::string_view /*reason*/,
-                    std::chrono::nanoseconds /*duration*/) override {
+                    std::chrono::nanoseconds /*duration*/,
+                    std::uint32_t /*instances*/) override {
     cold.push_back(upstream.name);
   }
   void OnRefuse(const DispatchRequest& request,
--- a/packages/dispatch/dispatcher_notices.cc
+++ b/packages/dispatch/dispatcher_notices.cc
@@ -103,8 +103,9 @@
                            std::string_view reason,
                            BootTime until,
                            BootTime now) {
-  if (upstream.cold.Start(until, InstancesAtCold(now), Draw(), now))
-    listener_.OnColdPeriod(upstream.entry, reason, until - now);
+  const std::uint32_t instances = InstancesAtCold(now);
+  if (upstream.cold.Start(until, instances, Draw(), now))
+    listener_.OnColdPeriod(upstream.entry, reason, until - now, instances);
 }
 
 void Dispatcher::UpdateColdInstances(std::uint32_t instances, BootTime now) {
--- a/packages/entry/entry_events.h
+++ b/packages/entry/entry_events.h
@@ -110,6 +110,12 @@
 // A cold upstream gets a limited number of requests for a while.
 inline constexpr LogEvent kColdPeriod{9037, "upstream_cold_period",
                                       LogLevel::kInfo};
+// This instance no longer follows the instance list and the evacuations.
+inline constexpr LogEvent kFleetContactLost{9049, "fleet_contact_lost",
+                                            LogLevel::kWarning};
+// This instance follows the instance list and the evacuations again.
+inline constexpr LogEvent kFleetContactRestored{9050, "fleet_contact_restored",
+                                                LogLevel::kInfo};
 // A request was refused for lack of memory; it has not run. `used` is what the
 // memory account had charged.
 inline constexpr LogEvent kMemoryRefusal{9040, "memory_request_refused",
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "base/log_position.h"
+#include "entry/duration_text.h"
 #include "entry/entry_events.h"
 
 namespace pollenrudder {
@@ -97,6 +98,7 @@
       settings_(settings),
       metrics_(Metrics::Create()),
       memory_(MemoryAccount::ForProcess(settings.memory_bytes)),
+      contact_(settings.list_interval),
       crash_guard_(io, *metrics_, *this),
       forwarder_(io,
                  protocol,
@@ -257,6 +259,7 @@
 void EntryInstance::OnFleetChanges(std::uint64_t from,
                                    std::uint64_t to,
                                    const std::vector<FleetChange>& changes) {
+  contact_.OnListRead(BootClock::now());
   update_relay_.OnListRead(from, to, ApplyChanges(changes));
   SendUpdate();
 }
@@ -270,6 +273,7 @@
   if (restored)
     configuration_relay_.ServeAgain();
   const BootTime now = BootClock::now();
+  contact_.OnListRead(now);
   const auto changes = restored
                            ? std::optional(fleet_.ReplaceRestored(entries, now))
                            : fleet_.ReplaceAndCompare(entries, now);
@@ -306,6 +310,10 @@
   SendUpdate();
 }
 
+void EntryInstance::OnEvacuationsRead() {
+  contact_.OnEvacuationsRead(BootClock::now());
+}
+
 void EntryInstance::OnListUnavailable() {
   list_available_ = false;
   EventLog::Write(kListUnavailable, {{"upstreams", fleet_.upstreams().size()}});
@@ -324,6 +332,27 @@
     grant_driver_.OnFleet(fleet_, *configuration_);
 }
 
+void EntryInstance::ReportContact() {
+  const BootTime now = BootClock::now();
+  const auto list_age = contact_.ListAge(now);
+  const auto evacuations_age = contact_.EvacuationsAge(now);
+  if (!list_age || !evacuations_age)
+    return;
+  const auto seconds = [](std::chrono::nanoseconds age) {
+    return std::chrono::duration<double>(age).count();
+  };
+  metrics_->Set("entry_fleet_age_seconds", "of=\"list\"", seconds(*list_age));
+  metrics_->Set("entry_fleet_age_seconds", "of=\"evacuations\"",
+                seconds(*evacuations_age));
+  const bool has_contact = contact_.HasLasted(milliseconds(0), now);
+  if (has_contact == has_contact_)
+    return;
+  has_contact_ = has_contact;
+  EventLog::Write(has_contact ? kFleetContactRestored : kFleetContactLost,
+                  {{"list_age_ms", Milliseconds(*list_age)},
+                   {"evacuations_age_ms", Milliseconds(*evacuations_age)}});
+}
+
 void EntryInstance::ScheduleRemovals() {
   const auto next = fleet_.NextRemoval();
   if (!next)
@@ -345,6 +374,7 @@
     if (error)
       return;
     forwarder_.CloseIdleConnections();
+    ReportContact();
     metrics_->Set("entry_memory_used_bytes", {},
                   static_cast<double>(memory_->used_bytes()));
     metrics_->Set("entry_memory_charges_refused", {},
--- a/packages/entry/entry_instance.h
+++ b/packages/entry/entry_instance.h
@@ -31,6 +31,7 @@
 #include "entry/upstream_protocol.h"
 #include "fleet/feed_control.h"
 #include "fleet/fleet.h"
+#include "fleet/fleet_contact.h"
 #include "fleet/fleet_observer.h"
 #include "grants/grant_log.h"
 
@@ -85,6 +86,7 @@
   void OnEvacuatedZones(
       std::uint64_t position,
       const std::set<std::string, std::less<>>& zones) override;
+  void OnEvacuationsRead() override;
   void OnListUnavailable() override;
   void OnListAvailable() override;
 
@@ -118,6 +120,12 @@
   // store. Without it, it fetches the version from another zone, since all
   // instances of its own wait for it.
   std::string ConfigurationSource(const RelayedUpdate& update) const;
+  // Records that `update`, which has been applied, shows recent knowledge.
+  void UpdateContact(const RelayedUpdate& update);
+  // Reports a loss or return of the contact to the list and the evacuations.
+  void ReportContact();
+  // Returns the update that was received last, as of now.
+  RelayedUpdate LastUpdate() const;
   void ScheduleHousekeeping();
   void ScheduleRemovals();
   void CheckLeaveProgress();
@@ -179,6 +187,9 @@
   const std::unique_ptr<Metrics> metrics_;
   const std::shared_ptr<MemoryAccount> memory_;
   Fleet fleet_;
+  FleetContact contact_;
+  // Whether the last check found that there is contact.
+  bool has_contact_ = false;
   // Used until the store reports the number. A high value keeps retry budgets
   // and connection limits small.
   std::uint32_t instances_ = 12;
@@ -195,6 +206,7 @@
   UpdateRelay update_relay_;
   // The update that was received last, for instances that begin to report.
   RelayedUpdate last_update_;
+  BootTime last_update_time_{};
   ConfigurationRelay configuration_relay_;
   FeedControl* feeds_ = nullptr;
   std::set<std::string, std::less<>> evacuated_zones_;
--- a/packages/entry/entry_instance_updates.cc
+++ b/packages/entry/entry_instance_updates.cc
@@ -57,6 +57,7 @@
   }
   update.evacuations_position = evacuations_position_;
   update.evacuated_zones = evacuated_zones_;
+  update.evacuations_age = contact_.EvacuationsAge(BootClock::now());
   grant_driver_.AddTopologyTo(update);
   return update;
 }
@@ -73,7 +74,7 @@
     if (update_relay_.HasCurrentRead(BootClock::now()))
       channel_->Send({sender}, MakeUpdate(), grant_driver_.HopOfOwnUpdates());
   } else if (update_relay_.IsRelayActive()) {
-    channel_->Send({sender}, last_update_, InstanceChannel::Hop::kForwarded);
+    channel_->Send({sender}, LastUpdate(), InstanceChannel::Hop::kForwarded);
   }
 }
 
@@ -129,6 +130,7 @@
   if (grant_driver_.coordinator().IsLeader())
     return;
   last_update_ = update;
+  last_update_time_ = BootClock::now();
   if (feeds_ != nullptr && feeds_->list_position() > 0 &&
       LogEpochOf(update.list_to) > LogEpochOf(feeds_->list_position())) {
     fleet_.OnListAvailable(BootClock::now());
@@ -143,9 +145,32 @@
           ? std::chrono::duration_cast<std::chrono::nanoseconds>(
                 settings_.list_interval * kRelayTakeoverShare)
           : std::chrono::nanoseconds(0));
+  UpdateContact(update);
   grant_driver_.OnLogEnd(update.grant_log_offset);
 }
 
+RelayedUpdate EntryInstance::LastUpdate() const {
+  RelayedUpdate update = last_update_;
+  const auto kept = BootClock::now() - last_update_time_;
+  if (update.list_age)
+    *update.list_age += kept;
+  if (update.evacuations_age)
+    *update.evacuations_age += kept;
+  return update;
+}
+
+void EntryInstance::UpdateContact(const RelayedUpdate& update) {
+  if (feeds_ == nullptr)
+    return;
+  const BootTime now = BootClock::now();
+  // An update that begins after the list of this instance leaves a gap.
+  if (update.list_age && update.list_to <= feeds_->list_position())
+    contact_.OnListRead(now - *update.list_age);
+  if (update.evacuations_age &&
+      update.evacuations_position <= evacuations_position_)
+    contact_.OnEvacuationsRead(now - *update.evacuations_age);
+}
+
 void EntryInstance::OnRelayedChanges(const std::vector<FleetChange>& changes) {
   ApplyChanges(changes);
 }
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -107,7 +107,8 @@
               const ListedUpstream& upstream) override;
   void OnColdPeriod(const ListedUpstream& upstream,
                     std::string_view reason,
-                    std::chrono::nanoseconds duration) override;
+                    std::chrono::nanoseconds duration,
+                    std::uint32_t instances) override;
   void OnRefuse(const DispatchRequest& request,
                 ErrorKind kind,
                 std::chrono::nanoseconds retry_after) override;
--- a/packages/entry/forwarder_responses.cc
+++ b/packages/entry/forwarder_responses.cc
@@ -84,14 +84,16 @@
 
 void Forwarder::OnColdPeriod(const ListedUpstream& upstream,
                              std::string_view reason,
-                             nanoseconds duration) {
+                             nanoseconds duration,
+                             std::uint32_t instances) {
   metrics_.Count("entry_cold_periods_total",
                  "reason=\"" + std::string(reason) + '"');
   EventLog::WriteLazily(kColdPeriod, [&] {
     return std::vector<LogField>{{"upstream", upstream.name},
                                  {"service", upstream.service},
                                  {"reason", reason},
-                                 {"duration_ms", Milliseconds(duration)}};
+                                 {"duration_ms", Milliseconds(duration)},
+                                 {"instances", instances}};
   });
 }
 
--- a/packages/entry/relayed_update.cc
+++ b/packages/entry/relayed_update.cc
@@ -2,6 +2,8 @@
 
 #include "entry/relayed_update.h"
 
+#include <algorithm>
+
 #include <boost/json.hpp>
 
 #include "base/json_text.h"
@@ -12,12 +14,14 @@
 namespace json = boost::json;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
 
 // Without the field that only entries that may be outdated have.
 constexpr std::size_t kEntryFieldCount = 8;
 constexpr std::size_t kFieldsWithoutRelays = 6;
 constexpr std::size_t kFieldsWithoutPeers = 8;
 constexpr std::size_t kFieldsWithoutEvacuations = 9;
+constexpr std::size_t kFieldsWithoutAges = 11;
 
 using AddressByZone = std::map<std::string, std::string, std::less<>>;
 
@@ -73,21 +77,34 @@
   return addresses;
 }
 
+json::value EncodeAge(const std::optional<nanoseconds>& age) {
+  return age ? json::value(duration_cast<milliseconds>(*age).count())
+             : json::value();
+}
+
+std::optional<nanoseconds> ParseAge(const json::value& value) {
+  if (value.is_null())
+    return std::nullopt;
+  // A negative age would pass for knowledge of the future.
+  return std::max(milliseconds(value.to_number<std::int64_t>()),
+                  milliseconds(0));
+}
+
 }  // namespace
 
 std::string EncodeRelayedUpdate(const RelayedUpdate& update) {
   json::array changes;
   for (const FleetChange& change : update.changes)
     changes.push_back(EncodeChange(change));
-  return json::serialize(
-      json::array{update.list_from, update.list_to, std::move(changes),
-                  update.configuration_version, update.grant_log_offset,
-                  EncodeAddresses(update.configuration_sources),
-                  update.instances, EncodeAddresses(update.zone_relays),
-                  json::array(update.peers.begin(), update.peers.end()),
-                  update.evacuations_position,
-                  json::array(update.evacuated_zones.begin(),
-                              update.evacuated_zones.end())});
+  return json::serialize(json::array{
+      update.list_from, update.list_to, std::move(changes),
+      update.configuration_version, update.grant_log_offset,
+      EncodeAddresses(update.configuration_sources), update.instances,
+      EncodeAddresses(update.zone_relays),
+      json::array(update.peers.begin(), update.peers.end()),
+      update.evacuations_position,
+      json::array(update.evacuated_zones.begin(), update.evacuated_zones.end()),
+      EncodeAge(update.list_age), EncodeAge(update.evacuations_age)});
 }
 
 std::optional<RelayedUpdate> ParseRelayedUpdate(std::string_view text) {
@@ -116,6 +133,10 @@
       for (const json::value& zone : fields.at(10).as_array())
         update.evacuated_zones.insert(JsonText(zone));
     }
+    if (fields.size() > kFieldsWithoutAges) {
+      update.list_age = ParseAge(fields.at(11));
+      update.evacuations_age = ParseAge(fields.at(12));
+    }
     return update;
   } catch (const std::exception&) {
     // Boost.JSON reports a malformed datagram as an exception.
--- a/packages/entry/relayed_update.h
+++ b/packages/entry/relayed_update.h
@@ -3,6 +3,7 @@
 #ifndef POLLENRUDDER_ENTRY_RELAYED_UPDATE_H_
 #define POLLENRUDDER_ENTRY_RELAYED_UPDATE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -45,6 +46,10 @@
   // as of which the sender knows them; 0 if it does not.
   std::uint64_t evacuations_position = 0;
   std::set<std::string, std::less<>> evacuated_zones;
+  // How long ago the list was read at `list_to`, and the evacuated zones were
+  // known. Nothing if they were not, and in updates of earlier versions.
+  std::optional<std::chrono::nanoseconds> list_age;
+  std::optional<std::chrono::nanoseconds> evacuations_age;
 };
 
 std::string EncodeRelayedUpdate(const RelayedUpdate& update);
--- a/packages/entry/relayed_update_test.cc
+++ b/packages/entry/relayed_update_test.cc
@@ -34,6 +34,8 @@
   update.zone_relays = {{"a1", "10.0.0.3:7620"}, {"b1", "10.0.1.3:7620"}};
   update.evacuations_position = 31;
   update.evacuated_zones = {"a1", "b1"};
+  update.list_age = std::chrono::milliseconds(30);
+  update.evacuations_age = std::chrono::milliseconds(450);
   return update;
 }
 
@@ -59,6 +61,28 @@
   CHECK(parsed->zone_relays == update.zone_relays);
   CHECK(parsed->evacuations_position == 31);
   CHECK(parsed->evacuated_zones == update.evacuated_zones);
+  CHECK(parsed->list_age == update.list_age);
+  CHECK(parsed->evacuations_age == update.evacuations_age);
+}
+
+// Guards against a sender that has never read the zones, or a damaged age, that
+// passes for recent knowledge.
+TEST_CASE("A relayed update without ages tells none") {
+  RelayedUpdate update = SampleUpdate();
+  update.list_age.reset();
+  update.evacuations_age.reset();
+  const auto parsed = ParseRelayedUpdate(EncodeRelayedUpdate(update));
+  REQUIRE(parsed);
+  CHECK_FALSE(parsed->list_age);
+  CHECK_FALSE(parsed->evacuations_age);
+  const auto earlier = ParseRelayedUpdate(
+      R"([10,12,[],3,40,{},4,{},["10.0.0.1:7620"],7,["a1"]])");
+  REQUIRE(earlier);
+  CHECK_FALSE(earlier->list_age);
+  const auto negative = ParseRelayedUpdate(
+      R"([10,12,[],3,40,{},4,{},["10.0.0.1:7620"],7,["a1"],-5,null])");
+  REQUIRE(negative);
+  CHECK(negative->list_age == std::chrono::milliseconds(0));
 }
 
 // Guards against zones that are taken back by an update whose sender does not
--- a/packages/entry/update_relay.cc
+++ b/packages/entry/update_relay.cc
@@ -49,6 +49,7 @@
   update.list_from = reads_.front().from;
   update.list_to = reads_.back().to;
   const BootTime now = BootClock::now();
+  update.list_age = now - last_read_;
   for (const Read& read : reads_) {
     for (FleetChange change : read.changes) {
       // The receivers count the time from the arrival of the update.
--- a/packages/fleet/fleet_observer.h
+++ b/packages/fleet/fleet_observer.h
@@ -44,6 +44,8 @@
   virtual void OnEvacuatedZones(
       std::uint64_t position,
       const std::set<std::string, std::less<>>& zones) = 0;
+  // This instance has read the operator's topic, and reported all changes.
+  virtual void OnEvacuationsRead() = 0;
   // The instance list cannot be read, or can be read again.
   virtual void OnListUnavailable() = 0;
   virtual void OnListAvailable() = 0;
