Ask upstreams that may have become cold before requests are sent to them

What callers saw: during an evacuation, upstreams of the zone crashed under the requests of instances that were cut off, and the requests in progress there ended with 502 or 504.

Cause: an instance that is cut off from the instance list and from the evacuations took the last state it knew for the present one. An upstream that became cold meanwhile counted as warm, and got requests at the full rate. Each such instance stayed far below the bound; the sum over all did not. The class: missing knowledge taken for good news.

Change: FleetContact tells since when the list and the evacuations have been followed without a gap. After a gap, at the start, and until the contact has lasted for the cold time, a request to an upstream of a service with a tolerated rate needs a permit of the limiter of cold upstreams, or the statement of the upstream, in a health response on the same connection, that it is not cold. A cold upstream thus gets the permits of all instances and what was confirmed within the last round trip, whatever each instance knows. While there is contact nothing is asked. The leader and the relays send an update with each read of the operator's topic, so that a gap is noticed within 1.5 s; only if a service has a tolerated rate.

Why it works: the bound no longer depends on what an instance knows, but on what the upstream itself has just said.

--- a/packages/dispatch/cold_rate_limiter_test.cc
+++ b/packages/dispatch/cold_rate_limiter_test.cc
@@ -13,6 +13,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "dispatch/cold_deployment_test.h"
 #include "dispatch/dispatcher_fixture_test.h"
 
 namespace pollenrudder {
@@ -21,26 +22,6 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-// What a cold upstream tolerates in any one second.
-double MaxPerSecond(double rate) {
-  constexpr double kOverage = 1.5;
-  constexpr double kSlack = 8;
-  return rate * kOverage + kSlack;
-}
-
-// Returns the largest number of `times` within one second.
-std::size_t BusiestSecond(std::vector<milliseconds> times) {
-  std::ranges::sort(times);
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < times.size(); ++last) {
-    while (times[last] - times[first] >= 1s)
-      ++first;
-    most = std::max(most, last - first + 1);
-  }
-  return most;
-}
-
 // How many instances have a request for the upstream at a time.
 using HasDemand = bool (*)(milliseconds time, std::mt19937_64& random);
 
@@ -131,15 +112,6 @@
   CHECK(unlimited.NextPermit(At(0ms)) == At(0ms));
 }
 
-// One of the instances that share the upstreams of a deployment.
-struct Instance {
-  explicit Instance(std::uint64_t seed)
-      : dispatcher({"a1", {{"a1", "a"}, {"a2", "a"}}, seed}, recorder) {}
-
-  DispatchRecorder recorder;
-  Dispatcher dispatcher;
-};
-
 struct Deployment {
   static constexpr std::uint32_t kInstances = 60;
   static constexpr double kRate = 2;
--- a/packages/dispatch/dispatch_listener.h
+++ b/packages/dispatch/dispatch_listener.h
@@ -23,8 +23,11 @@
   // any more, for example because the caller has gone. The listener has ended
   // it then, and the dispatcher drops it without any further callback.
   virtual bool DropIfObsolete(const DispatchRequest& request) = 0;
+  // If `needs_confirmation`, `upstream` may be cold, and has to state that it
+  // is not before it gets the request. The request is not sent otherwise.
   virtual void OnSend(const DispatchRequest& request,
-                      const ListedUpstream& upstream) = 0;
+                      const ListedUpstream& upstream,
+                      bool needs_confirmation) = 0;
   // A cold period of `upstream` has begun, in which the requests to it are
   // divided among `instances` instances. `reason` is a fixed word for logs and
   // metrics.
--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -468,9 +468,7 @@
       }
       if (listener_.DropIfObsolete(request))
         return true;
-      decision.upstream->estimate.OnSent();
-      decision.upstream->cold.OnSent(now);
-      listener_.OnSend(request, decision.upstream->entry);
+      Send(service, request, *decision.upstream, now);
       return true;
     case Choice::kNoUpstream:
       Refuse(service, request, ErrorKind::kNotRunUnreachable,
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -23,6 +23,7 @@
 #include "dispatch/request_queue.h"
 #include "dispatch/upstream_estimate.h"
 #include "fleet/fleet.h"
+#include "fleet/fleet_contact.h"
 #include "fleet/router_configuration.h"
 #include "grants/key_table.h"
 #include "grants/load_report.h"
@@ -50,6 +51,9 @@
     // is leaving, unless the instance list says so too, or after the evacuation
     // of its availability zone became known. Its keys are moved meanwhile.
     std::chrono::nanoseconds leaving_owner_time = std::chrono::seconds(1);
+    // How recent the fleet is. Must outlive the dispatcher. If null, the fleet
+    // counts as up to date.
+    const FleetContact* contact = nullptr;
   };
 
   // `listener` must outlive the dispatcher.
@@ -94,6 +98,13 @@
   // may get it want no requests for longer than it can wait.
   bool IsRefusedForPause(const DispatchRequest& request, BootTime now) const;
 
+  // Called when `upstream` states that it is cold for `remaining`.
+  void OnColdStated(const ListedUpstream& upstream,
+                    std::chrono::nanoseconds remaining,
+                    BootTime now);
+  // Called when `upstream` did not state whether it is cold; it counts as cold.
+  void OnNotConfirmed(const ListedUpstream& upstream, BootTime now);
+
   // Returns whether this incarnation is listed and not known to be leaving.
   bool IsListedToStay(const ListedUpstream& upstream) const;
 
@@ -147,6 +158,9 @@
     ListedUpstream entry;
     UpstreamEstimate estimate;
     ColdRateLimiter cold{0};
+    // While it is unknown whether the upstream is cold: limits the requests
+    // that are sent without asking it.
+    ColdRateLimiter presumed_cold{0};
     // Empty if the settings do not name its zone.
     std::string region;
     bool same_zone = false;
@@ -244,6 +258,9 @@
                  std::string_view reason,
                  BootTime until,
                  BootTime now);
+  // Returns whether a request may be sent to an upstream that may be cold
+  // without asking it, and counts that send.
+  bool TryTakePermit(const Service& service, Upstream& upstream, BootTime now);
   void UpdateColdInstances(std::uint32_t instances, BootTime now);
   // Records whether the owner of the request's key rejected it as not its own.
   static void RecordRejection(Service& service,
@@ -253,6 +270,14 @@
   // Returns the number of instances among which the requests to cold upstreams
   // are divided.
   std::uint32_t InstancesAtCold(BootTime now) const;
+  bool IsInstanceCountKnown(BootTime now) const;
+  // Returns the upstream if this incarnation is listed, and nullptr otherwise.
+  Upstream* FindIncarnation(const ListedUpstream& upstream);
+  // Returns whether the upstream may have become cold while this instance did
+  // not follow the instance list and the evacuations.
+  bool MayBeCold(const Service& service,
+                 const Upstream& upstream,
+                 BootTime now) const;
   // Returns whether the upstream is in a region that may get the request.
   static bool IsAllowedAt(const Upstream& upstream,
                           const DispatchRequest& request);
@@ -290,6 +315,10 @@
   bool TryDispatch(Service& service,
                    const DispatchRequest& request,
                    BootTime now);
+  void Send(const Service& service,
+            const DispatchRequest& request,
+            Upstream& upstream,
+            BootTime now);
   void ProcessQueue(Service& service, BootTime now);
   // Returns the expected time in the queue of a new request.
   std::chrono::nanoseconds ExpectedWait(const Service& service,
--- a/packages/dispatch/dispatcher_fixture_test.h
+++ b/packages/dispatch/dispatcher_fixture_test.h
@@ -28,9 +28,19 @@
     std::chrono::nanoseconds retry_after;
   };
 
+  // A send that `upstream` has to confirm first.
+  struct Confirmation {
+    DispatchRequest request;
+    ListedUpstream upstream;
+  };
+
   void OnSend(const DispatchRequest& request,
-              const ListedUpstream& upstream) override {
-    sent.emplace_back(request.id, upstream.name);
+              const ListedUpstream& upstream,
+              bool needs_confirmation) override {
+    if (needs_confirmation)
+      confirmations.push_back({request, upstream});
+    else
+      sent.emplace_back(request.id, upstream.name);
   }
   bool DropIfObsolete(const DispatchRequest& request) override {
     return abandoned.contains(request.id);
@@ -52,7 +62,9 @@
         sent, [&](const auto& entry) { return entry.second == upstream; }));
   }
 
+  // The sends that need no confirmation, and those that do.
   std::vector<std::pair<std::uint64_t, std::string>> sent;
+  std::vector<Confirmation> confirmations;
   std::vector<Refusal> refused;
   std::vector<std::string> cold;
   // The requests whose callers have gone.
--- a/packages/dispatch/dispatcher_hedges.cc
+++ b/packages/dispatch/dispatcher_hedges.cc
@@ -65,7 +65,7 @@
     return false;
   return IsUsableFor(service, upstream, request, now) &&
          !upstream.cold.IsCold(now) && now >= upstream.entry.cold_until &&
-         now >= upstream.ResumesAt(now);
+         !MayBeCold(service, upstream, now) && now >= upstream.ResumesAt(now);
 }
 
 }  // namespace pollenrudder
--- a/packages/dispatch/dispatcher_notices.cc
+++ b/packages/dispatch/dispatcher_notices.cc
@@ -8,15 +8,6 @@
 namespace pollenrudder {
 namespace {
 
-// An instance learns the number of instances some seconds after its start.
-// Until then it assumes the planned capacity (docs/design.md, 1.5).
-constexpr std::chrono::seconds kInstanceCountDelay{5};
-constexpr std::uint32_t kInstancesBeforeCount = 770;
-// How long a number of instances is assumed after a smaller one became known. A
-// grant leader that has just restarted counts only those that have reported to
-// it.
-constexpr std::chrono::seconds kInstanceCountMemory{10};
-
 // How long requests wait after the owner of their key rejected a request as not
 // its own: at first the time in which a grant that is on its way arrives, then
 // up to the time after which the grant leader has renewed the grant.
@@ -99,31 +90,6 @@
              : upstream.IsUsable();
 }
 
-void Dispatcher::StartCold(Upstream& upstream,
-                           std::string_view reason,
-                           BootTime until,
-                           BootTime now) {
-  const std::uint32_t instances = InstancesAtCold(now);
-  if (upstream.cold.Start(until, instances, Draw(), now))
-    listener_.OnColdPeriod(upstream.entry, reason, until - now, instances);
-}
-
-void Dispatcher::UpdateColdInstances(std::uint32_t instances, BootTime now) {
-  const std::uint32_t former = instances_;
-  if (fewer_instances_since_ &&
-      now >= *fewer_instances_since_ + kInstanceCountMemory) {
-    cold_instances_ = former;
-    fewer_instances_since_.reset();
-  }
-  instances_ = instances;
-  if (instances >= cold_instances_) {
-    cold_instances_ = instances;
-    fewer_instances_since_.reset();
-  } else if (!fewer_instances_since_ || instances < former) {
-    fewer_instances_since_ = now;
-  }
-}
-
 void Dispatcher::RecordRejection(Service& service,
                                  const DispatchRequest& request,
                                  AttemptResult result,
@@ -147,13 +113,6 @@
   rejection.until = now + rejection.delay;
 }
 
-std::uint32_t Dispatcher::InstancesAtCold(BootTime now) const {
-  const bool is_counted =
-      started_at_ && now >= *started_at_ + kInstanceCountDelay;
-  return is_counted ? cold_instances_
-                    : std::max(cold_instances_, kInstancesBeforeCount);
-}
-
 bool Dispatcher::IsAllowedAt(const Upstream& upstream,
                              const DispatchRequest& request) {
   return !request.allowed_regions ||
--- a/packages/entry/active_request.h
+++ b/packages/entry/active_request.h
@@ -24,10 +24,11 @@
 
 // One send of a request to an upstream that has not ended.
 struct Attempt {
-  // The value of ActiveRequest::sends at the send.
+  // The value of ActiveRequest::attempt_count at its start.
   std::uint32_t number = 0;
   ListedUpstream upstream;
   std::shared_ptr<HttpClient> client;
+  // When it began, or when the upstream has confirmed that it is not cold.
   BootTime sent_at{};
   // A second send, while the first is in progress.
   bool is_hedge = false;
@@ -57,6 +58,9 @@
   std::vector<std::weak_ptr<HttpClient>> former_clients;
   // Number of sends, including several to one upstream.
   std::uint32_t sends = 0;
+  // Number of attempts: the sends, and the attempts that ended before because
+  // their upstream did not confirm that it is not cold.
+  std::uint32_t attempt_count = 0;
   // Set if an upstream may have run the request.
   bool may_have_run = false;
   std::unique_ptr<boost::asio::steady_timer> timer;
--- a/packages/entry/entry_instance.cc
+++ b/packages/entry/entry_instance.cc
@@ -47,10 +47,11 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-Forwarder::Options ForwarderOptions(const EntrySettings& settings) {
+Forwarder::Options ForwarderOptions(const EntrySettings& settings,
+                                    const FleetContact& contact) {
   Forwarder::Options options;
   options.dispatch = {settings.zone, settings.region_of_zone, RandomSeed(),
-                      settings.leaving_owner_time};
+                      settings.leaving_owner_time, &contact};
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.retry_window = settings.retry_window;
@@ -105,7 +106,7 @@
                  *metrics_,
                  memory_,
                  crash_guard_,
-                 ForwarderOptions(settings)),
+                 ForwarderOptions(settings, contact_)),
       grant_driver_(
           io,
           CoordinatorOptions(settings),
@@ -310,8 +311,13 @@
   SendUpdate();
 }
 
-void EntryInstance::OnEvacuationsRead() {
-  contact_.OnEvacuationsRead(BootClock::now());
+void EntryInstance::OnEvacuationsRead(BootTime as_of) {
+  contact_.OnEvacuationsRead(as_of);
+  // Updates after reads of the list are further apart than an instance may be
+  // without knowledge of the evacuations.
+  if (configuration_ && configuration_->LimitsColdUpstreams() &&
+      update_relay_.HasCurrentRead(BootClock::now()))
+    SendUpdate();
 }
 
 void EntryInstance::OnListUnavailable() {
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -261,9 +261,9 @@
       ReportToHedgePolicy(request, request.attempts.front(),
                           AttemptResult::kTimedOut, now);
       request.may_have_run = true;
-      AbortAttempts(std::exchange(request.attempts, {}), request.dispatch,
-                    AttemptResult::kTimedOut, now);
-      Retry(request, AttemptResult::kTimedOut, now);
+      const std::vector<Attempt> attempts = std::exchange(request.attempts, {});
+      AbortAttempts(attempts, request.dispatch, AttemptResult::kTimedOut, now);
+      Retry(request, attempts.front().upstream, AttemptResult::kTimedOut, now);
       ScheduleTick();
       return;
     }
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -104,7 +104,8 @@
   // DispatchListener:
   bool DropIfObsolete(const DispatchRequest& request) override;
   void OnSend(const DispatchRequest& request,
-              const ListedUpstream& upstream) override;
+              const ListedUpstream& upstream,
+              bool needs_confirmation) override;
   void OnColdPeriod(const ListedUpstream& upstream,
                     std::string_view reason,
                     std::chrono::nanoseconds duration,
@@ -125,7 +126,24 @@
   void StartAttempt(ActiveRequest& request,
                     const ListedUpstream& upstream,
                     bool is_hedge,
+                    bool needs_confirmation,
                     BootTime now);
+  // Asks the upstream of the attempt whether it is cold, and sends the request
+  // if it is not.
+  void ConfirmAttempt(const ActiveRequest& request, const Attempt& attempt);
+  void OnConfirmationEnded(std::uint64_t id,
+                           std::uint32_t number,
+                           HttpCallResult result,
+                           HttpResponse& response);
+  // Tells the dispatcher what the response of a health request states. Returns
+  // whether the upstream is not cold.
+  bool ApplyConfirmation(const ListedUpstream& upstream,
+                         HttpCallResult result,
+                         const HttpResponse& response,
+                         BootTime now);
+  static void RecordSend(ActiveRequest& request,
+                         const ListedUpstream& upstream);
+  void SendAttempt(ActiveRequest& request, const Attempt& attempt);
   // `number` is Attempt::number.
   void OnAttemptEnded(std::uint64_t id,
                       std::uint32_t number,
@@ -147,7 +165,11 @@
   bool TryConsumeRetry(ActiveRequest& request,
                        AttemptResult result,
                        BootTime now);
-  void Retry(ActiveRequest& request, AttemptResult result, BootTime now);
+  // `upstream` is the one of the last attempt.
+  void Retry(ActiveRequest& request,
+             const ListedUpstream& upstream,
+             AttemptResult result,
+             BootTime now);
   // Closes the connections of `attempts`, which belong to the request of
   // `dispatch`, and reports `result` to the dispatcher.
   void AbortAttempts(const std::vector<Attempt>& attempts,
--- a/packages/entry/forwarder_attempts.cc
+++ b/packages/entry/forwarder_attempts.cc
@@ -55,28 +55,48 @@
 }  // namespace
 
 void Forwarder::OnSend(const DispatchRequest& dispatch,
-                       const ListedUpstream& upstream) {
+                       const ListedUpstream& upstream,
+                       bool needs_confirmation) {
   const auto it = requests_.find(dispatch.id);
   assert(it != requests_.end());
   const BootTime now = BootClock::now();
-  StartAttempt(it->second, upstream, /*is_hedge=*/false, now);
+  StartAttempt(it->second, upstream, /*is_hedge=*/false, needs_confirmation,
+               now);
   ArmHedgeTimer(it->second, now);
 }
 
 void Forwarder::StartAttempt(ActiveRequest& request,
                              const ListedUpstream& upstream,
                              bool is_hedge,
+                             bool needs_confirmation,
                              BootTime now) {
-  const DispatchRequest& dispatch = request.dispatch;
-  const std::uint32_t number = ++request.sends;
-  if (std::ranges::find(request.dispatch.tried, upstream.name) ==
-      request.dispatch.tried.end())
-    request.dispatch.tried.push_back(upstream.name);
+  const std::uint32_t number = ++request.attempt_count;
   const std::shared_ptr<HttpClient> client =
       PoolOf(upstream).Take(request.repeatable, request.former_clients, now);
   request.attempts.push_back({number, upstream, client, now, is_hedge});
-  const nanoseconds left =
-      std::max<nanoseconds>(dispatch.deadline - now, milliseconds(1));
+  ArmTimer(request, now);
+  const Attempt& attempt = request.attempts.back();
+  if (needs_confirmation) {
+    ConfirmAttempt(request, attempt);
+    return;
+  }
+  RecordSend(request, upstream);
+  SendAttempt(request, attempt);
+}
+
+void Forwarder::RecordSend(ActiveRequest& request,
+                           const ListedUpstream& upstream) {
+  ++request.sends;
+  auto& tried = request.dispatch.tried;
+  if (std::ranges::find(tried, upstream.name) == tried.end())
+    tried.push_back(upstream.name);
+}
+
+void Forwarder::SendAttempt(ActiveRequest& request, const Attempt& attempt) {
+  const DispatchRequest& dispatch = request.dispatch;
+  const std::uint32_t number = attempt.number;
+  const nanoseconds left = std::max<nanoseconds>(
+      dispatch.deadline - attempt.sent_at, milliseconds(1));
   HttpClient::CallOptions options;
   options.timeout = left + kResponseGrace * 2;
   options.connect_timeout = kConnectTimeout;
@@ -95,14 +115,13 @@
   // Nothing could tell a late copy of the response to a request without an id
   // from the next response.
   options.ends_when_unidentified = request.request_id.empty();
-  ArmTimer(request, now);
-  client->Call(protocol_.FormatHeadForUpstream(request.received->message,
-                                               upstream, left),
-               std::move(options),
-               [this, id = dispatch.id, number](HttpCallResult result,
-                                                HttpResponse& response) {
-                 OnAttemptEnded(id, number, result, response);
-               });
+  attempt.client->Call(protocol_.FormatHeadForUpstream(
+                           request.received->message, attempt.upstream, left),
+                       std::move(options),
+                       [this, id = dispatch.id, number](
+                           HttpCallResult result, HttpResponse& response) {
+                         OnAttemptEnded(id, number, result, response);
+                       });
 }
 
 bool Forwarder::MayStillSend(std::uint64_t id, std::uint32_t number) {
@@ -218,7 +237,7 @@
   } else if (!is_final && !may_crash_upstreams &&
              TryConsumeRetry(request, result, now)) {
     request.former_clients.push_back(attempt.client);
-    Retry(request, result, now);
+    Retry(request, upstream, result, now);
   } else if (is_final || result == AttemptResult::kErrorResponse) {
     outpaced = std::exchange(request.attempts, {});
     for (const Attempt& other : outpaced)
@@ -303,6 +322,7 @@
 }
 
 void Forwarder::Retry(ActiveRequest& request,
+                      const ListedUpstream& upstream,
                       AttemptResult result,
                       BootTime now) {
   metrics_.Count("entry_resends_total",
@@ -311,7 +331,7 @@
     return std::vector<LogField>{
         {"request", request.request_id},
         {"reason", Name(result)},
-        {"upstream", request.dispatch.tried.back()},
+        {"upstream", upstream.name},
         {"sends", request.sends},
         {"after_ms", Milliseconds(now - request.dispatch.arrived)}};
   });
--- a/packages/entry/forwarder_hedges.cc
+++ b/packages/entry/forwarder_hedges.cc
@@ -86,7 +86,8 @@
         {"upstream", upstream->name},
         {"after_ms", Milliseconds(now - first.sent_at)}};
   });
-  StartAttempt(request, *upstream, /*is_hedge=*/true, now);
+  StartAttempt(request, *upstream, /*is_hedge=*/true,
+               /*needs_confirmation=*/false, now);
 }
 
 void Forwarder::ReportToHedgePolicy(const ActiveRequest& request,
--- a/packages/entry/upstream_protocol.h
+++ b/packages/entry/upstream_protocol.h
@@ -4,6 +4,7 @@
 #define POLLENRUDDER_ENTRY_UPSTREAM_PROTOCOL_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -56,6 +57,21 @@
   // another upstream may have sent the response. Applies to key calls too.
   virtual UpstreamNotice ParseNotice(const HttpResponse& response,
                                      std::string_view upstream) const = 0;
+  // Health requests, to which an upstream responds with what it states of
+  // itself. `path` is ServicePolicy::health_path.
+  virtual std::string FormatHealthRequest(
+      std::string_view path,
+      const ListedUpstream& upstream) const = 0;
+  // Compares `response` with a health request to the upstream `upstream`.
+  virtual ResponseMatch MatchHealthResponse(
+      const HttpResponse& response,
+      std::string_view upstream) const = 0;
+  // Returns for how much longer the upstream is cold, which is 0 if it is not;
+  // nothing if the response does not state that. Applies to responses to health
+  // requests.
+  virtual std::optional<std::chrono::nanoseconds> ParseColdRemaining(
+      const HttpResponse& response,
+      std::string_view upstream) const = 0;
   // Adds the header fields of responses that the router itself generates.
   virtual void AddRouterHeaders(HttpResponse& response,
                                 std::string_view request_id) const = 0;
--- a/packages/fleet/fleet_observer.h
+++ b/packages/fleet/fleet_observer.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/boot_clock.h"
 #include "fleet/configuration_document.h"
 #include "fleet/fleet_change.h"
 #include "fleet/listed_upstream.h"
@@ -44,8 +45,9 @@
   virtual void OnEvacuatedZones(
       std::uint64_t position,
       const std::set<std::string, std::less<>>& zones) = 0;
-  // This instance has read the operator's topic, and reported all changes.
-  virtual void OnEvacuationsRead() = 0;
+  // This instance has read the operator's topic as of `as_of`, and reported all
+  // changes.
+  virtual void OnEvacuationsRead(BootTime as_of) = 0;
   // The instance list cannot be read, or can be read again.
   virtual void OnListUnavailable() = 0;
   virtual void OnListAvailable() = 0;
--- a/packages/fleet/router_configuration.cc
+++ b/packages/fleet/router_configuration.cc
@@ -72,6 +72,12 @@
   return common;
 }
 
+bool RouterConfiguration::LimitsColdUpstreams() const {
+  return std::ranges::any_of(services, [](const auto& service) {
+    return service.second.cold_rate > 0;
+  });
+}
+
 std::size_t RouterConfiguration::route_count() const {
   std::size_t count = 0;
   for (const auto& [host, routes] : routes_by_host_)
--- a/packages/fleet/router_configuration.h
+++ b/packages/fleet/router_configuration.h
@@ -42,6 +42,10 @@
   std::optional<std::vector<std::string>> CommonRegionsOf(
       std::string_view service) const;
 
+  // Returns whether a service has upstreams that tolerate only a limited rate
+  // while they are cold.
+  bool LimitsColdUpstreams() const;
+
   std::size_t route_count() const;
   const std::map<std::string, std::vector<Route>, std::less<>>& routes() const {
     return routes_by_host_;
