Do not write requests without a permit to an upstream that has become cold

Cause: MaySendTo() did not consider a cold period that began while the connection was being opened.

Change: the check before a request is written includes whether the upstream has become cold since it was chosen. The request is sent elsewhere, or waits for a permit.

Result: a new case covers the decision.

--- a/packages/dispatch/cold_rate_limiter.cc
+++ b/packages/dispatch/cold_rate_limiter.cc
@@ -29,6 +29,7 @@
     return false;
   }
   instances_ = std::max(instances, 1U);
+  started_at_ = now;
   next_permit_ = now + nanoseconds(static_cast<std::int64_t>(
                            phase * static_cast<double>(Interval().count())));
   return true;
--- a/packages/dispatch/cold_rate_limiter.h
+++ b/packages/dispatch/cold_rate_limiter.h
@@ -47,6 +47,8 @@
   void set_rate(double rate) { rate_ = rate; }
 
   bool IsCold(BootTime now) const { return rate_ > 0 && now < until_; }
+  // When the last cold period began.
+  BootTime started_at() const { return started_at_; }
   // Returns when the next request may be sent: `now` at the earliest, and the
   // end of the cold period at the latest.
   BootTime NextPermit(BootTime now) const;
@@ -59,6 +61,7 @@
   double rate_;
   std::chrono::nanoseconds permit_lifetime_;
   std::uint32_t instances_ = 1;
+  BootTime started_at_{};
   BootTime until_{};
   // At most one permit is kept, and only for a short time: requests of
   // instances that had none to send would arrive together later.
--- a/packages/dispatch/cold_rate_limiter_test.cc
+++ b/packages/dispatch/cold_rate_limiter_test.cc
@@ -296,6 +296,27 @@
         MaxPerSecond(Deployment::kRate));
 }
 
+// Guards against requests that are written without a permit because the
+// upstream became cold while their connections were being opened: each instance
+// may have several.
+TEST_CASE("A request that was on its way to a cold upstream is not written") {
+  DispatcherFixture fixture;
+  fixture.configuration.services["soil"].cold_time = 3s;
+  fixture.configuration.services["soil"].cold_rate = 2;
+  fixture.Add("own", "a1", 4);
+  ListedUpstream entry = *fixture.fleet.Find("own");
+  CHECK_FALSE(fixture.dispatcher.HasBecomeCold(entry, At(5990ms), At(6000ms)));
+  ListedUpstream cold = entry;
+  cold.cold_remaining = 3s;
+  fixture.fleet.Apply({"own", cold}, At(6000ms));
+  fixture.dispatcher.SetFleet(fixture.fleet, fixture.configuration, 4,
+                              At(6000ms));
+  CHECK(fixture.dispatcher.HasBecomeCold(entry, At(5990ms), At(6010ms)));
+  // Chosen with a permit.
+  CHECK_FALSE(fixture.dispatcher.HasBecomeCold(entry, At(6000ms), At(6010ms)));
+  CHECK_FALSE(fixture.dispatcher.HasBecomeCold(entry, At(5990ms), At(9010ms)));
+}
+
 // Guards against requests that wait for an owner that is cold for longer than
 // they can.
 TEST_CASE("Dispatcher refuses at once what a cold owner cannot get in time") {
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -115,6 +115,12 @@
                  const ListedUpstream& upstream,
                  BootTime now) const;
 
+  // Returns whether `upstream` is cold, and became so after `chosen_at`, when
+  // it was chosen for a request: that request has no permit.
+  bool HasBecomeCold(const ListedUpstream& upstream,
+                     BootTime chosen_at,
+                     BootTime now) const;
+
   // Chooses an upstream for a second send of a request that waits for its
   // response, and counts that send, which is to be reported to OnEnded() as any
   // other. Returns nothing if a request waits, or if no upstream within the
--- a/packages/dispatch/dispatcher_cold.cc
+++ b/packages/dispatch/dispatcher_cold.cc
@@ -72,6 +72,17 @@
              : nullptr;
 }
 
+bool Dispatcher::HasBecomeCold(const ListedUpstream& upstream,
+                               BootTime chosen_at,
+                               BootTime now) const {
+  const auto service = services_.find(upstream.service);
+  if (service == services_.end())
+    return false;
+  const auto at = service->second.upstreams.find(upstream.name);
+  return at != service->second.upstreams.end() && at->second.cold.IsCold(now) &&
+         at->second.cold.started_at() > chosen_at;
+}
+
 bool Dispatcher::MayBeCold(const Service& service,
                            const Upstream& upstream,
                            BootTime now) const {
--- a/packages/entry/forwarder_attempts.cc
+++ b/packages/entry/forwarder_attempts.cc
@@ -136,7 +136,8 @@
   const auto caller = request.caller.lock();
   const BootTime now = BootClock::now();
   if (!caller || caller->HasPeerClosed() || now >= request.dispatch.deadline ||
-      QuarantineLeft(request, now))
+      QuarantineLeft(request, now) ||
+      dispatcher_.HasBecomeCold(attempt->upstream, attempt->sent_at, now))
     return false;
   if (!attempt->is_hedge)
     return dispatcher_.MaySendTo(request.dispatch, attempt->upstream, now);
--- a/packages/entry/forwarder_confirmations.cc
+++ b/packages/entry/forwarder_confirmations.cc
@@ -68,8 +68,12 @@
                         attempt->client->connected_at() < attempt->sent_at;
   HttpResponse no_response;
   if (result == HttpCallResult::kNotSent || was_idle ||
-      !ApplyConfirmation(attempt->upstream, result, response, now) ||
-      !MayStillSend(id, number)) {
+      !ApplyConfirmation(attempt->upstream, result, response, now)) {
+    OnAttemptEnded(id, number, HttpCallResult::kNotSent, no_response);
+    return;
+  }
+  attempt->sent_at = now;
+  if (!MayStillSend(id, number)) {
     OnAttemptEnded(id, number, HttpCallResult::kNotSent, no_response);
     return;
   }
@@ -78,7 +82,6 @@
         PoolOf(attempt->upstream)
             .Take(request.repeatable, request.former_clients, now);
   }
-  attempt->sent_at = now;
   RecordSend(request, attempt->upstream);
   SendAttempt(request, *attempt);
 }
