Ask owners of keys in an evacuated zone before requests are sent to them

Cause: the owner of a key gets its requests for up to 2 s after an evacuation has become known, while its keys move. It counted as warm, although the upstreams of an evacuated zone may become cold at any moment.

Change: each of these requests needs a permit or a confirmation, as without contact.

Result: the new case fails without the change (0 confirmations in place of 4) and passes with it.

--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -279,8 +279,8 @@
   bool IsInstanceCountKnown(BootTime now) const;
   // Returns the upstream if this incarnation is listed, and nullptr otherwise.
   Upstream* FindIncarnation(const ListedUpstream& upstream);
-  // Returns whether the upstream may have become cold while this instance did
-  // not follow the instance list and the evacuations.
+  // Returns whether the upstream may have become cold without the knowledge of
+  // this instance.
   bool MayBeCold(const Service& service,
                  const Upstream& upstream,
                  BootTime now) const;
--- a/packages/dispatch/dispatcher_cold.cc
+++ b/packages/dispatch/dispatcher_cold.cc
@@ -86,10 +86,13 @@
 bool Dispatcher::MayBeCold(const Service& service,
                            const Upstream& upstream,
                            BootTime now) const {
-  // What became cold during a gap is cold no longer once the contact has lasted
-  // for the cold time.
-  return service.cold_rate > 0 && service.cold_time.count() > 0 &&
-         options_.contact != nullptr && !upstream.cold.IsCold(now) &&
+  if (service.cold_rate <= 0 || service.cold_time.count() <= 0 ||
+      options_.contact == nullptr || upstream.cold.IsCold(now))
+    return false;
+  // An owner of keys still gets requests when its evacuation has begun, and may
+  // become cold at any moment of it. What became cold during a gap is cold no
+  // longer once the contact has lasted for the cold time.
+  return upstream.evacuated_since.has_value() ||
          !options_.contact->HasLasted(service.cold_time, now);
 }
 
--- a/packages/dispatch/dispatcher_contact_test.cc
+++ b/packages/dispatch/dispatcher_contact_test.cc
@@ -570,6 +570,24 @@
   CHECK_FALSE(fixture.instance.dispatcher.HasWaiting());
 }
 
+// Guards against owners of keys in an evacuated zone that become cold while
+// they still get the requests for their keys.
+TEST_CASE("The owner of a key is asked when its zone is being evacuated") {
+  ContactFixture fixture;
+  fixture.AddOwnerOfAllKeys("owner");
+  fixture.StayInContact(0ms, 6000ms);
+  fixture.fleet.SetEvacuatedZones({"a1"});
+  fixture.ApplyFleet(5000ms);
+  for (milliseconds time = 5100ms; time < 5500ms; time += 100ms) {
+    fixture.Submit(time);
+    fixture.instance.dispatcher.OnEnded(fixture.Request(time), "owner",
+                                        AttemptResult::kAnswered, 50ms,
+                                        At(time + 50ms));
+  }
+  CHECK(fixture.recorder().sent.empty());
+  CHECK(fixture.recorder().confirmations.size() == 4);
+}
+
 // Guards against keyed requests that wait for a cold owner in vain, or whose
 // callers come back too early or too late.
 TEST_CASE("Requests beyond the permits of a cold owner are refused at once") {
