Count the age of the list in the timeout of updates

Cause: since updates are also sent after reads of the operator's topic, one with a list that is an interval old restarted the whole timeout, so that a receiver could use a list twice as old as before if the sender's reads of the list hang.

Change: the age of the list is subtracted from the timeout.

--- a/packages/entry/update_relay.cc
+++ b/packages/entry/update_relay.cc
@@ -82,7 +82,9 @@
   // the changes that the update lacks.
   if (!is_complete)
     return;
-  RestartTimeout(extra_time);
+  // The next read of the list is due an interval after the last one.
+  RestartTimeout(extra_time -
+                 update.list_age.value_or(std::chrono::nanoseconds(0)));
   if (relay_active_)
     return;
   relay_active_ = true;
@@ -100,7 +102,9 @@
 }
 
 void UpdateRelay::RestartTimeout(std::chrono::nanoseconds extra_time) {
-  timeout_timer_.expires_after(update_timeout_ + extra_time - kResponseTime);
+  timeout_timer_.expires_after(
+      std::max(update_timeout_ + extra_time - kResponseTime,
+               std::chrono::nanoseconds(0)));
   timeout_timer_.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
--- a/packages/entry/update_relay_test.cc
+++ b/packages/entry/update_relay_test.cc
@@ -133,5 +133,26 @@
   CHECK(last->cold_remaining == 0ms);
 }
 
+// Guards against an instance that goes on with an old list because updates keep
+// arriving from a sender that cannot read the list.
+TEST_CASE("An update with an old list does not replace reads for longer") {
+  Fixture fixture;
+  RelayedUpdate fresh = Update(5, 20);
+  fresh.list_age = 0ms;
+  fixture.relay.OnRelayedUpdate(fresh, 0, 0ms);
+  const auto start = std::chrono::steady_clock::now();
+  // What a sender whose list reads fail sends with its last read of the zones
+  // (HasCurrentRead(): 450 ms here).
+  while (std::chrono::steady_clock::now() < start + 400ms)
+    fixture.io.run_one_until(start + 400ms);
+  REQUIRE(fixture.recorder.active);
+  RelayedUpdate old = Update(5, 20);
+  old.list_age = 400ms;
+  fixture.relay.OnRelayedUpdate(old, 0, 0ms);
+  while (std::chrono::steady_clock::now() < start + 600ms)
+    fixture.io.run_one_until(start + 600ms);
+  CHECK_FALSE(fixture.recorder.active);
+}
+
 }  // namespace
 }  // namespace pollenrudder
