Do not divide the rate of cold upstreams by a number that nobody has counted

Cause: five seconds after its first list, an instance divided the tolerated rate by its default of 12, or by the members of the store's group, if no leader had told it the number. The number that was told is also remembered for 10 s only after it has dropped, while the reported cuts last 12 s.

Change: the planned capacity is assumed until a leader has told the number, or this instance leads; and a larger number is remembered for 20 s.

--- a/packages/dispatch/dispatcher_cold.cc
+++ b/packages/dispatch/dispatcher_cold.cc
@@ -14,7 +14,7 @@
 // How long a number of instances is assumed after a smaller one became known. A
 // grant leader that has just restarted counts only those that have reported to
 // it.
-constexpr std::chrono::seconds kInstanceCountMemory{10};
+constexpr std::chrono::seconds kInstanceCountMemory{20};
 
 }  // namespace
 
@@ -128,7 +128,8 @@
 }
 
 bool Dispatcher::IsInstanceCountKnown(BootTime now) const {
-  return started_at_ && now >= *started_at_ + kInstanceCountDelay;
+  return started_at_ && now >= *started_at_ + kInstanceCountDelay &&
+         (options_.contact == nullptr || options_.contact->instances_counted());
 }
 
 }  // namespace pollenrudder
--- a/packages/entry/entry_instance_updates.cc
+++ b/packages/entry/entry_instance_updates.cc
@@ -59,6 +59,8 @@
   update.evacuated_zones = evacuated_zones_;
   update.evacuations_age = contact_.EvacuationsAge(BootClock::now());
   grant_driver_.AddTopologyTo(update);
+  if (update.instances > 0)
+    contact_.OnInstancesCounted();
   return update;
 }
 
@@ -162,6 +164,8 @@
 void EntryInstance::UpdateContact(const RelayedUpdate& update) {
   if (feeds_ == nullptr)
     return;
+  if (update.instances > 0)
+    contact_.OnInstancesCounted();
   const BootTime now = BootClock::now();
   // An update that begins after the list of this instance leaves a gap.
   if (update.list_age && update.list_to <= feeds_->list_position())
--- a/packages/fleet/fleet_contact.h
+++ b/packages/fleet/fleet_contact.h
@@ -39,6 +39,11 @@
     return evacuations_.Age(now);
   }
 
+  // The grant leader has told the number of instances, or this instance is the
+  // leader.
+  void OnInstancesCounted() { instances_counted_ = true; }
+  bool instances_counted() const { return instances_counted_; }
+
   // Returns whether both have been followed without a gap for `period`.
   bool HasLasted(std::chrono::nanoseconds period, BootTime now) const {
     return list_.HasLasted(period, now) && evacuations_.HasLasted(period, now);
@@ -59,6 +64,7 @@
 
   Source list_;
   Source evacuations_;
+  bool instances_counted_ = false;
 };
 
 }  // namespace pollenrudder
