Let callers come back soon who are refused for lack of contact

Cause: an instance without contact named the time of its own next permit as Retry-After, seconds later, although the other instances may know that the upstream is not cold.

--- a/packages/dispatch/dispatcher.cc
+++ b/packages/dispatch/dispatcher.cc
@@ -245,14 +245,6 @@
   ProcessQueue(service->second, now);
 }
 
-bool Dispatcher::IsRefusedForPause(const DispatchRequest& request,
-                                   BootTime now) const {
-  const auto service = services_.find(request.service);
-  return service != services_.end() &&
-         !CanWaitUntil(service->second, request,
-                       ResumesAt(service->second, request, now), now);
-}
-
 bool Dispatcher::CanWaitUntil(const Service& service,
                               const DispatchRequest& request,
                               BootTime resumes_at,
@@ -590,6 +582,9 @@
   const auto retry_after =
       std::clamp<nanoseconds>(FromCount(ToCount(wait) * (0.75 + 0.5 * jitter)),
                               kMinRetryAfter, kMaxRetryAfter);
+  // Other instances may know that the upstreams are not cold.
+  if (LacksContact(now))
+    return std::min<nanoseconds>(retry_after, kNoUpstreamRetryAfter);
   // Before the end of a requested pause, the caller would be refused again.
   const nanoseconds pause = ResumesAt(service, request, now) - now;
   return std::max(retry_after, FromCount(ToCount(pause) * (1 + 0.25 * jitter)));
--- a/packages/dispatch/dispatcher.h
+++ b/packages/dispatch/dispatcher.h
@@ -279,6 +279,9 @@
   bool IsInstanceCountKnown(BootTime now) const;
   // Returns the upstream if this incarnation is listed, and nullptr otherwise.
   Upstream* FindIncarnation(const ListedUpstream& upstream);
+  // Returns whether this instance does not follow the instance list and the
+  // evacuations.
+  bool LacksContact(BootTime now) const;
   // Returns whether the upstream may have become cold without the knowledge of
   // this instance.
   bool MayBeCold(const Service& service,
--- a/packages/dispatch/dispatcher_cold.cc
+++ b/packages/dispatch/dispatcher_cold.cc
@@ -83,6 +83,11 @@
          at->second.cold.started_at() > chosen_at;
 }
 
+bool Dispatcher::LacksContact(BootTime now) const {
+  return options_.contact != nullptr &&
+         !options_.contact->HasLasted(nanoseconds(0), now);
+}
+
 bool Dispatcher::MayBeCold(const Service& service,
                            const Upstream& upstream,
                            BootTime now) const {
--- a/packages/dispatch/dispatcher_notices.cc
+++ b/packages/dispatch/dispatcher_notices.cc
@@ -57,6 +57,14 @@
     at->second.estimate.OnPauseRequested(known.until);
 }
 
+bool Dispatcher::IsRefusedForPause(const DispatchRequest& request,
+                                   BootTime now) const {
+  const auto service = services_.find(request.service);
+  return service != services_.end() &&
+         !CanWaitUntil(service->second, request,
+                       ResumesAt(service->second, request, now), now);
+}
+
 bool Dispatcher::IsListedToStay(const ListedUpstream& upstream) const {
   const auto service = services_.find(upstream.service);
   if (service == services_.end())
