Send a request only by a confirmation of its own and in time

Change: Attempt::is_confirming, a limit of the age of a confirmation, and a comparison of unidentified responses with those to health requests.

--- a/packages/entry/active_request.h
+++ b/packages/entry/active_request.h
@@ -32,6 +32,9 @@
   BootTime sent_at{};
   // A second send, while the first is in progress.
   bool is_hedge = false;
+  // The upstream has not yet confirmed that it is not cold; the request has not
+  // been sent.
+  bool is_confirming = false;
 };
 
 // The state that the Forwarder keeps for each request.
--- a/packages/entry/forwarder.cc
+++ b/packages/entry/forwarder.cc
@@ -257,6 +257,7 @@
   ActiveRequest& request = it->second;
   if (now < request.dispatch.deadline) {
     if (request.attempts.size() == 1 &&
+        !request.attempts.front().is_confirming &&
         TryConsumeRetry(request, AttemptResult::kTimedOut, now)) {
       ReportToHedgePolicy(request, request.attempts.front(),
                           AttemptResult::kTimedOut, now);
@@ -277,11 +278,13 @@
   }
   dispatcher_.Cancel(request.dispatch.service, id);
   if (!request.attempts.empty()) {
-    ReportToHedgePolicy(request, request.attempts.front(),
-                        AttemptResult::kTimedOut, now);
-    request.may_have_run = true;
-    AbortAttempts(std::exchange(request.attempts, {}), request.dispatch,
-                  AttemptResult::kTimedOut, now);
+    const bool is_sent = !request.attempts.front().is_confirming;
+    const AttemptResult result =
+        is_sent ? AttemptResult::kTimedOut : AttemptResult::kNotSent;
+    ReportToHedgePolicy(request, request.attempts.front(), result, now);
+    request.may_have_run |= is_sent;
+    AbortAttempts(std::exchange(request.attempts, {}), request.dispatch, result,
+                  now);
   }
   it = requests_.find(id);
   Fail(it,
@@ -332,7 +335,12 @@
       attempt.client->Abort();
     if (attempts.empty())
       dispatcher_.Cancel(it->second.dispatch.service, id);
-    Fail(it, ErrorKind::kUnknownUpstreamLost, nanoseconds(0));
+    const bool is_confirming =
+        !attempts.empty() && attempts.front().is_confirming;
+    if (is_confirming && !it->second.may_have_run)
+      Fail(it, ErrorKind::kNotRunShuttingDown, kDefaultRetryAfter);
+    else
+      Fail(it, ErrorKind::kUnknownUpstreamLost, nanoseconds(0));
   }
 }
 
--- a/packages/entry/forwarder_attempts.cc
+++ b/packages/entry/forwarder_attempts.cc
@@ -73,7 +73,8 @@
   const std::uint32_t number = ++request.attempt_count;
   const std::shared_ptr<HttpClient> client =
       PoolOf(upstream).Take(request.repeatable, request.former_clients, now);
-  request.attempts.push_back({number, upstream, client, now, is_hedge});
+  request.attempts.push_back(
+      {number, upstream, client, now, is_hedge, needs_confirmation});
   ArmTimer(request, now);
   const Attempt& attempt = request.attempts.back();
   if (needs_confirmation) {
@@ -108,9 +109,17 @@
   options.may_send = [this, id = dispatch.id, number] {
     return MayStillSend(id, number);
   };
-  options.match = [this,
-                   id = request.request_id](const HttpResponse& response) {
-    return protocol_.MatchResponse(response, id);
+  options.match = [this, id = request.request_id,
+                   upstream =
+                       attempt.upstream.name](const HttpResponse& response) {
+    const ResponseMatch match = protocol_.MatchResponse(response, id);
+    // A late copy of the response to a health request.
+    if (match == ResponseMatch::kUnidentified &&
+        protocol_.MatchHealthResponse(response, upstream) ==
+            ResponseMatch::kOwn &&
+        protocol_.Classify(response, upstream) == ResponseKind::kUnrecognized)
+      return ResponseMatch::kOther;
+    return match;
   };
   // Nothing could tell a late copy of the response to a request without an id
   // from the next response.
--- a/packages/entry/forwarder_confirmations.cc
+++ b/packages/entry/forwarder_confirmations.cc
@@ -63,6 +63,11 @@
     OnAttemptEnded(id, number, result, response);
     return;
   }
+  // A process that was suspended reads an old response.
+  const BootTime asked_at =
+      std::max(attempt->sent_at, attempt->client->connected_at());
+  if (now - asked_at > kConfirmationTimeout)
+    result = HttpCallResult::kTimedOut;
   // The upstream closed an idle connection; that states nothing.
   const bool was_idle = result == HttpCallResult::kConnectionLost &&
                         attempt->client->connected_at() < attempt->sent_at;
@@ -77,6 +82,7 @@
     OnAttemptEnded(id, number, HttpCallResult::kNotSent, no_response);
     return;
   }
+  attempt->is_confirming = false;
   if (!attempt->client->IsReusable()) {
     attempt->client =
         PoolOf(attempt->upstream)
--- a/packages/entry/forwarder_hedges.cc
+++ b/packages/entry/forwarder_hedges.cc
@@ -30,7 +30,7 @@
 
 void Forwarder::ArmHedgeTimer(ActiveRequest& request, BootTime now) {
   // A retry has used its part of the retry budget already.
-  if (request.sends != 1 || !IsHedgeable(request))
+  if (request.sends != 1 || request.attempt_count != 1 || !IsHedgeable(request))
     return;
   HedgePolicy* policy = HedgePolicyOf(request.dispatch.service);
   if (policy == nullptr)
@@ -54,7 +54,8 @@
   ActiveRequest& request = it->second;
   const DispatchRequest& dispatch = request.dispatch;
   // The first send has failed, or was retried.
-  if (request.sends != 1 || request.attempts.size() != 1)
+  if (request.sends != 1 || request.attempt_count != 1 ||
+      request.attempts.size() != 1)
     return;
   const Attempt& first = request.attempts.front();
   const BootTime now = BootClock::now();
