--- a/packages/dispatch/dispatcher_cold.cc
+++ b/packages/dispatch/dispatcher_cold.cc
@@ -34,7 +34,8 @@
 bool Dispatcher::TryTakePermit(const Service& service,
                                Upstream& upstream,
                                BootTime now) {
-  // The first permit would be far away, and stay there.
+  // The interval of the planned capacity lasts minutes, and the first permit
+  // would keep its place in it once the number is known.
   if (!IsInstanceCountKnown(now))
     return false;
   ColdRateLimiter& limiter = upstream.presumed_cold;
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -120,6 +120,8 @@
   // Waits this long after the deadline for a response that the upstream sends
   // at the deadline itself.
   static constexpr std::chrono::milliseconds kResponseGrace{60};
+  // Timeout for opening a connection to an upstream.
+  static constexpr std::chrono::milliseconds kConnectTimeout{1000};
 
   RetryBudgetShare& RetryBudgetOf(const std::string& service);
   HttpClientPool& PoolOf(const ListedUpstream& upstream);
--- a/packages/entry/forwarder_attempts.cc
+++ b/packages/entry/forwarder_attempts.cc
@@ -22,7 +22,6 @@
 // Delay before a request is retried at the owner of its key: the time in which
 // a slot becomes free or an update with a new owner arrives.
 constexpr milliseconds kOwnerRetryDelay{40};
-constexpr milliseconds kConnectTimeout{1000};
 
 std::string_view Name(AttemptResult result) {
   switch (result) {
--- a/packages/entry/forwarder_confirmations.cc
+++ b/packages/entry/forwarder_confirmations.cc
@@ -15,7 +15,6 @@
 
 // A busy upstream responds to health requests when a slot is free.
 constexpr milliseconds kConfirmationTimeout{1000};
-constexpr milliseconds kConnectTimeout{1000};
 constexpr std::uint64_t kMaxHealthBodyBytes = 1 << 16;
 
 }  // namespace
